--- /dev/null
+++ b/src/coordination/outbox.h
@@ -0,0 +1,32 @@
+#ifndef COORDINATION_OUTBOX_H_
+#define COORDINATION_OUTBOX_H_
+
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "protocol/peer_message.h"
+#include "state/record.h"
+
+namespace tamaracktrail {
+
+//! What a state machine wants done: messages to instances and records to
+//! append. Not thread-safe.
+struct Outbox {
+  struct Letter {
+    uint64_t to = 0;  //!< Incarnation.
+    PeerMessage message;
+  };
+
+  std::vector<Letter> letters;
+  std::vector<Record> records;
+
+  void Send(uint64_t to, PeerMessage message) {
+    letters.push_back({to, std::move(message)});
+  }
+  void Append(Record record) { records.push_back(std::move(record)); }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_OUTBOX_H_
--- /dev/null
+++ b/src/protocol/frame_codec.h
@@ -0,0 +1,50 @@
+#ifndef PROTOCOL_FRAME_CODEC_H_
+#define PROTOCOL_FRAME_CODEC_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "protocol/peer_message.h"
+
+namespace tamaracktrail {
+
+constexpr uint16_t kPeerProtocolVersion = 1;
+
+//! Encodes peer messages as authenticated frames.
+//!
+//! Frame: magic (4 bytes), version (2), body length (4), HMAC-SHA-256 of the
+//! body (32), body; integers in network order. Thread-safe: it is immutable
+//! after construction.
+class FrameCodec {
+ public:
+  static constexpr size_t kHeaderBytes = 42;
+  static constexpr size_t kMaxBodyBytes = 4 * 1024 * 1024;
+
+  //! Precondition: `key` is the fleet's shared key and not empty.
+  explicit FrameCodec(std::string key);
+
+  //! Precondition: the body is not longer than kMaxBodyBytes.
+  std::string Encode(const PeerMessage& message) const;
+
+  //! Decodes one whole frame, for datagrams. kOutOfRange: cut or too long;
+  //! kFailedPrecondition: another version; kUnauthenticated: wrong tag;
+  //! kDataLoss: the body does not decode.
+  absl::StatusOr<PeerMessage> Decode(const std::string& frame) const;
+
+  //! Takes the first frame off the front of `buffer`, for streams. nullopt
+  //! where it is not complete yet. An error leaves the stream unusable.
+  absl::StatusOr<std::optional<PeerMessage>> TakeFrom(
+      std::string& buffer) const;
+
+ private:
+  //! Length of the body that a header announces.
+  absl::StatusOr<size_t> BodyLength(const std::string& header) const;
+
+  std::string key_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_FRAME_CODEC_H_
--- /dev/null
+++ b/src/protocol/heartbeat.h
@@ -0,0 +1,42 @@
+#ifndef PROTOCOL_HEARTBEAT_H_
+#define PROTOCOL_HEARTBEAT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "protocol/endpoint_news.h"
+#include "state/instance_id.h"
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! Periodic datagram between the instances of a data centre.
+struct Heartbeat {
+  InstanceId from;
+  std::string data_centre;
+  uint64_t sequence = 0;
+  uint64_t config_version = 0;
+  bool draining = false;
+  //! Sender's monotonic clock; the receiver echoes it.
+  Millis sent_at;
+  //! sent_at of the last heartbeat received from the receiver.
+  Millis echo;
+  //! Incarnation whose heartbeat is echoed; 0 for none.
+  uint64_t echo_of = 0;
+  std::vector<EndpointNews> endpoints;
+
+  friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(from, data_centre, sequence, config_version, draining, sent_at, echo, echo_of, endpoints);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_HEARTBEAT_H_
--- /dev/null
+++ b/src/protocol/orphan_report.h
@@ -0,0 +1,28 @@
+#ifndef PROTOCOL_ORPHAN_REPORT_H_
+#define PROTOCOL_ORPHAN_REPORT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include <cereal/types/vector.hpp>
+
+#include "state/kept_share.h"
+
+namespace tamaracktrail {
+
+struct OrphanReport {
+  uint64_t holder = 0;
+  uint64_t reporter = 0;
+  std::vector<KeptShare> kept;
+
+  friend bool operator==(const OrphanReport&, const OrphanReport&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(holder, reporter, kept);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_ORPHAN_REPORT_H_
--- /dev/null
+++ b/src/protocol/run_state.h
@@ -0,0 +1,18 @@
+#ifndef PROTOCOL_RUN_STATE_H_
+#define PROTOCOL_RUN_STATE_H_
+
+namespace tamaracktrail {
+
+//! Whether a request has run, as its caller is told.
+enum class RunState {
+  kNotRun,          //!< No byte of the call can have reached an endpoint.
+  kRan,             //!< It ran.
+  kOutcomeUnknown,  //!< It may have run.
+};
+
+//! Name in answers: "not_run", "ran" or "outcome_unknown".
+const char* RunStateName(RunState state);
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_RUN_STATE_H_
--- /dev/null
+++ b/src/protocol/settle_request.h
@@ -0,0 +1,26 @@
+#ifndef PROTOCOL_SETTLE_REQUEST_H_
+#define PROTOCOL_SETTLE_REQUEST_H_
+
+#include <cstdint>
+
+#include "state/charge.h"
+
+namespace tamaracktrail {
+
+//! Hands a charge into the receiver's custody.
+struct SettleRequest {
+  Charge charge;
+  //! Size of the reservation that covers it.
+  int64_t reserved = 0;
+
+  friend bool operator==(const SettleRequest&, const SettleRequest&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(charge, reserved);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_SETTLE_REQUEST_H_
--- /dev/null
+++ b/src/state/applied_batch.h
@@ -0,0 +1,23 @@
+#ifndef STATE_APPLIED_BATCH_H_
+#define STATE_APPLIED_BATCH_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "state/batch.h"
+#include "state/fold_verdict.h"
+
+namespace tamaracktrail {
+
+//! A batch that a stream view has folded, with a verdict for each record.
+struct AppliedBatch {
+  uint64_t offset = 0;
+  Batch batch;
+  std::vector<FoldVerdict> verdicts;
+
+  friend bool operator==(const AppliedBatch&, const AppliedBatch&) = default;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_APPLIED_BATCH_H_
--- /dev/null
+++ b/src/state/claim.h
@@ -0,0 +1,29 @@
+#ifndef STATE_CLAIM_H_
+#define STATE_CLAIM_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Claims the only run of a non-repeatable request. The first claim wins.
+struct Claim {
+  std::string organisation;
+  std::string key;
+  uint64_t attempt = 0;
+  uint64_t entry = 0;
+  std::string service;
+
+  friend bool operator==(const Claim&, const Claim&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(organisation, key, attempt, entry, service);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_CLAIM_H_
--- /dev/null
+++ b/src/state/crash.h
@@ -0,0 +1,29 @@
+#ifndef STATE_CRASH_H_
+#define STATE_CRASH_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! An endpoint that was lost while it ran a request.
+struct Crash {
+  //! Hash of the request's content.
+  std::string content;
+  std::string endpoint;
+  std::string key;
+  uint64_t attempt = 0;
+
+  friend bool operator==(const Crash&, const Crash&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(content, endpoint, key, attempt);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_CRASH_H_
--- /dev/null
+++ b/src/state/draw.h
@@ -0,0 +1,28 @@
+#ifndef STATE_DRAW_H_
+#define STATE_DRAW_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Moves undrawn tokens of a budget into a holder's share.
+struct Draw {
+  std::string organisation;
+  uint64_t holder = 0;
+  //! Tokens asked for; the fold grants at most what is undrawn.
+  int64_t tokens = 0;
+
+  friend bool operator==(const Draw&, const Draw&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(organisation, holder, tokens);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_DRAW_H_
--- /dev/null
+++ b/src/state/instance_id.h
@@ -0,0 +1,28 @@
+#ifndef STATE_INSTANCE_ID_H_
+#define STATE_INSTANCE_ID_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Names one process: the address it binds and the incarnation it drew at
+//! start. An incarnation is never reused.
+struct InstanceId {
+  //! "IP:port" of the UDP and TCP peer listener.
+  std::string address;
+  uint64_t incarnation = 0;
+
+  friend bool operator==(const InstanceId&, const InstanceId&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(address, incarnation);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_INSTANCE_ID_H_
--- /dev/null
+++ b/src/state/key_state.h
@@ -0,0 +1,36 @@
+#ifndef STATE_KEY_STATE_H_
+#define STATE_KEY_STATE_H_
+
+#include <cstdint>
+
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! What the ledger knows of one request key.
+struct KeyState {
+  enum class Phase : uint8_t {
+    kNone,     //!< Unknown, or its claim was abandoned.
+    kClaimed,  //!< May have run; the outcome is not known.
+    kDone,     //!< Ran, with a known outcome, and was not billed.
+    kCharged,  //!< Ran and was billed.
+  };
+
+  Phase phase = Phase::kNone;
+  bool carried = false;  //!< Never expires: a claim under an opaque key.
+  uint64_t attempt = 0;
+  int64_t tokens = 0;
+  int32_t code = 0;  //!< Numbered result code of a known outcome.
+  Millis seen;       //!< Fold time of the last change.
+
+  friend bool operator==(const KeyState&, const KeyState&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(phase, carried, attempt, tokens, code, seen);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_KEY_STATE_H_
--- /dev/null
+++ b/src/state/ledger_fold.cpp
@@ -0,0 +1,265 @@
+#include "state/ledger_fold.h"
+
+#include <algorithm>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/unordered_map.hpp>
+#include <cereal/types/utility.hpp>
+
+#include <glog/logging.h>
+
+#include "state/digest.h"
+#include "state/request_key.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr uint64_t kSecondHashSeed = 1;
+
+}  // namespace
+
+FoldVerdict LedgerFold::Apply(const Record& record,
+                              const FoldContext& context) {
+  clock_.Advance(context.wall);
+  return std::visit([&](const auto& it) { return On(it, context); }, record);
+}
+
+const Budget& LedgerFold::BudgetOf(const std::string& organisation) const {
+  static const Budget kNone;
+  auto it = budgets_.find(organisation);
+  return it == budgets_.end() ? kNone : it->second;
+}
+
+KeyState LedgerFold::KeyOf(const std::string& organisation,
+                           const std::string& key) const {
+  return Lookup(IdOf(organisation, key));
+}
+
+bool LedgerFold::KeyTooOld(const std::string& key, Millis wall) const {
+  const std::optional<Millis> time = RequestKeyTime(key);
+  return time.has_value() && *time + key_window_ <= std::max(wall, now());
+}
+
+std::map<std::string, int64_t> LedgerFold::SharesOf(uint64_t holder) const {
+  std::map<std::string, int64_t> shares;
+  for (const auto& [organisation, budget] : budgets_) {
+    if (const int64_t n = budget.Share(holder); n > 0) {
+      shares[organisation] = n;
+    }
+  }
+  return shares;
+}
+
+void LedgerFold::Trim() {
+  std::erase_if(keys_, [this](const auto& it) { return Expired(it.second); });
+  const auto old = [this](const auto& it) {
+    return it.second + key_window_ < now();
+  };
+  std::erase_if(abandoned_attempts_, old);
+  std::erase_if(voided_attempts_, old);
+}
+
+template <class Archive>
+void LedgerFold::serialize(Archive& archive) {
+  archive(clock_, budgets_, keys_, top_up_ids_, abandoned_attempts_, voided_attempts_,
+          exited_);
+}
+
+template void LedgerFold::serialize(cereal::PortableBinaryOutputArchive&);
+template void LedgerFold::serialize(cereal::PortableBinaryInputArchive&);
+
+FoldVerdict LedgerFold::On(const TopUp& record, const FoldContext&) {
+  if (record.tokens <= 0) {
+    return FoldVerdict::kNotApplicable;
+  }
+  if (!top_up_ids_.insert(record.organisation + "\n" + record.id).second) {
+    return FoldVerdict::kRepeat;
+  }
+  Budget& budget = budgets_[record.organisation];
+  budget.prepaid += record.tokens;
+  budget.undrawn += record.tokens;
+  budget.CheckInvariant();
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Draw& record, const FoldContext&) {
+  if (exited_.contains(record.holder)) {
+    return FoldVerdict::kHolderExited;
+  }
+  auto it = budgets_.find(record.organisation);
+  if (it == budgets_.end() || record.tokens <= 0) {
+    return FoldVerdict::kNotApplicable;
+  }
+  Budget& budget = it->second;
+  const int64_t granted = std::min(record.tokens, budget.undrawn);
+  budget.undrawn -= granted;
+  budget.AddToShare(record.holder, granted);
+  budget.CheckInvariant();
+  return granted > 0 ? FoldVerdict::kAccepted : FoldVerdict::kLostRace;
+}
+
+FoldVerdict LedgerFold::On(const Return& record, const FoldContext& context) {
+  // What an exited holder still has is accounted for by others, so its own
+  // late return must not take it.
+  if (exited_.contains(record.holder) && context.writer == record.holder) {
+    return FoldVerdict::kHolderExited;
+  }
+  auto it = budgets_.find(record.organisation);
+  if (it == budgets_.end() || record.tokens <= 0) {
+    return FoldVerdict::kNotApplicable;
+  }
+  Budget& budget = it->second;
+  if (record.tokens > budget.Share(record.holder)) {
+    return FoldVerdict::kExceedsShare;
+  }
+  budget.AddToShare(record.holder, -record.tokens);
+  budget.undrawn += record.tokens;
+  budget.CheckInvariant();
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Want&, const FoldContext&) {
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Charge& record, const FoldContext&) {
+  const KeyId id = IdOf(record.organisation, record.key);
+  KeyState state = Lookup(id);
+  if (state.phase == KeyState::Phase::kCharged) {
+    return FoldVerdict::kRepeat;
+  }
+  if (voided_attempts_.contains(record.attempt)) {
+    return FoldVerdict::kLostRace;
+  }
+  auto it = budgets_.find(record.organisation);
+  if (it == budgets_.end() || record.tokens < 0) {
+    return FoldVerdict::kNotApplicable;
+  }
+  Budget& budget = it->second;
+  if (record.tokens > budget.Share(record.holder)) {
+    return FoldVerdict::kExceedsShare;
+  }
+  budget.AddToShare(record.holder, -record.tokens);
+  budget.charged += record.tokens;
+  budget.CheckInvariant();
+  state.phase = KeyState::Phase::kCharged;
+  state.attempt = record.attempt;
+  state.tokens = record.tokens;
+  state.seen = now();
+  keys_[id] = state;
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Claim& record, const FoldContext&) {
+  if (abandoned_attempts_.contains(record.attempt)) {
+    return FoldVerdict::kLostRace;
+  }
+  const KeyId id = IdOf(record.organisation, record.key);
+  KeyState state = Lookup(id);
+  if (state.phase != KeyState::Phase::kNone) {
+    return state.attempt == record.attempt ? FoldVerdict::kRepeat
+                                           : FoldVerdict::kLostRace;
+  }
+  state.phase = KeyState::Phase::kClaimed;
+  state.attempt = record.attempt;
+  state.carried = !RequestKeyTime(record.key).has_value();
+  state.seen = now();
+  keys_[id] = state;
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Abandon& record, const FoldContext&) {
+  abandoned_attempts_[record.attempt] = now();
+  const KeyId id = IdOf(record.organisation, record.key);
+  const KeyState state = Lookup(id);
+  if (state.phase != KeyState::Phase::kClaimed ||
+      state.attempt != record.attempt) {
+    return FoldVerdict::kRepeat;
+  }
+  keys_.erase(id);
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Outcome& record, const FoldContext&) {
+  const KeyId id = IdOf(record.organisation, record.key);
+  KeyState state = Lookup(id);
+  if (state.attempt != record.attempt ||
+      state.phase != KeyState::Phase::kClaimed) {
+    return FoldVerdict::kRepeat;
+  }
+  state.phase = KeyState::Phase::kDone;
+  state.code = record.code;
+  state.seen = now();
+  keys_[id] = state;
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Run&, const FoldContext&) {
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Refusal&, const FoldContext&) {
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Release& record, const FoldContext&) {
+  if (!exited_.insert(record.holder).second) {
+    return FoldVerdict::kRepeat;
+  }
+  for (const auto& [organisation, share] : SharesOf(record.holder)) {
+    int64_t kept = 0;
+    for (const KeptShare& it : record.kept) {
+      kept += it.organisation == organisation ? it.tokens : 0;
+    }
+    const int64_t freed = share - std::clamp<int64_t>(kept, 0, share);
+    Budget& budget = budgets_[organisation];
+    budget.AddToShare(record.holder, -freed);
+    budget.undrawn += freed;
+    budget.CheckInvariant();
+  }
+  return FoldVerdict::kAccepted;
+}
+
+FoldVerdict LedgerFold::On(const Void& record, const FoldContext&) {
+  if (!voided_attempts_.try_emplace(record.attempt, now()).second) {
+    return FoldVerdict::kRepeat;
+  }
+  const KeyId id = IdOf(record.organisation, record.key);
+  const KeyState state = Lookup(id);
+  if (state.phase != KeyState::Phase::kCharged ||
+      state.attempt != record.attempt) {
+    return FoldVerdict::kAccepted;
+  }
+  Budget& budget = budgets_[record.organisation];
+  budget.charged -= state.tokens;
+  budget.undrawn += state.tokens;
+  budget.CheckInvariant();
+  keys_.erase(id);
+  return FoldVerdict::kAccepted;
+}
+
+template <class Other>
+FoldVerdict LedgerFold::On(const Other&, const FoldContext&) {
+  return FoldVerdict::kNotApplicable;
+}
+
+LedgerFold::KeyId LedgerFold::IdOf(const std::string& organisation,
+                                   const std::string& key) {
+  const std::string name = organisation + "\n" + key;
+  return {StableHash(name), StableHash(name, kSecondHashSeed)};
+}
+
+bool LedgerFold::Expired(const KeyState& state) const {
+  return !state.carried && state.seen + key_window_ < now();
+}
+
+KeyState LedgerFold::Lookup(const KeyId& id) const {
+  auto it = keys_.find(id);
+  return it == keys_.end() || Expired(it->second) ? KeyState() : it->second;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/state/order.h
@@ -0,0 +1,31 @@
+#ifndef STATE_ORDER_H_
+#define STATE_ORDER_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! An order to an endpoint, recorded before it is sent.
+struct Order {
+  std::string data_centre;
+  uint64_t fencing_number = 0;
+  std::string endpoint;
+  //! "load", "unload" or "role".
+  std::string action;
+  //! Model, adapter, version or role.
+  std::string target;
+
+  friend bool operator==(const Order&, const Order&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(data_centre, fencing_number, endpoint, action, target);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_ORDER_H_
--- /dev/null
+++ b/src/state/record.h
@@ -0,0 +1,56 @@
+#ifndef STATE_RECORD_H_
+#define STATE_RECORD_H_
+
+#include <variant>
+
+#include "state/abandon.h"
+#include "state/charge.h"
+#include "state/claim.h"
+#include "state/configuration.h"
+#include "state/control_snapshot.h"
+#include "state/crash.h"
+#include "state/draw.h"
+#include "state/exit.h"
+#include "state/join.h"
+#include "state/ledger_snapshot.h"
+#include "state/order.h"
+#include "state/outcome.h"
+#include "state/refusal.h"
+#include "state/release.h"
+#include "state/return.h"
+#include "state/run.h"
+#include "state/term.h"
+#include "state/top_up.h"
+#include "state/trial.h"
+#include "state/void.h"
+#include "state/want.h"
+
+namespace tamaracktrail {
+
+//! One fact on a log stream. The order of the alternatives is part of the
+//! stored format: append new ones at the end.
+using Record = std::variant<TopUp,
+                            Draw,
+                            Return,
+                            Want,
+                            Charge,
+                            Claim,
+                            Abandon,
+                            Outcome,
+                            Run,
+                            Refusal,
+                            Release,
+                            LedgerSnapshot,
+                            Configuration,
+                            Join,
+                            Exit,
+                            Crash,
+                            Trial,
+                            Term,
+                            Order,
+                            ControlSnapshot,
+                            Void>;
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_RECORD_H_
--- /dev/null
+++ b/src/state/release.h
@@ -0,0 +1,32 @@
+#ifndef STATE_RELEASE_H_
+#define STATE_RELEASE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+
+#include "state/kept_share.h"
+
+namespace tamaracktrail {
+
+//! Returns the share of an exited holder, but for tokens that instances
+//! still account for.
+struct Release {
+  uint64_t holder = 0;
+  std::string evidence;
+  std::vector<KeptShare> kept;
+
+  friend bool operator==(const Release&, const Release&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(holder, evidence, kept);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_RELEASE_H_
--- /dev/null
+++ b/src/state/request_key.cpp
@@ -0,0 +1,52 @@
+#include "state/request_key.h"
+
+#include <charconv>
+
+#include <glog/logging.h>
+
+#include "state/digest.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr size_t kUuidChars = 36;
+constexpr size_t kVersionIndex = 14;
+constexpr size_t kRandomBytes = 16;
+
+bool IsUuid(const std::string& key) {
+  if (key.size() != kUuidChars) {
+    return false;
+  }
+  for (size_t i = 0; i < key.size(); ++i) {
+    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+    const bool hex = std::isxdigit(static_cast<unsigned char>(key[i])) != 0;
+    if (dash ? key[i] != '-' : !hex) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::optional<Millis> RequestKeyTime(const std::string& key) {
+  if (!IsUuid(key) || key[kVersionIndex] != '7') {
+    return std::nullopt;
+  }
+  const std::string digits = key.substr(0, 8) + key.substr(9, 4);
+  int64_t count = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), count, 16);
+  return Millis(count);
+}
+
+std::string MakeRequestKey(Millis wall, const std::string& random) {
+  CHECK_GE(random.size(), kRandomBytes);
+  const std::string time = Hex(static_cast<uint64_t>(wall.count())).substr(4);
+  const std::string tail = Hex(random.substr(0, kRandomBytes));
+  return time.substr(0, 8) + "-" + time.substr(8, 4) + "-7" +
+         tail.substr(0, 3) + "-8" + tail.substr(3, 3) + "-" +
+         tail.substr(6, 12);
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/state/term.h
@@ -0,0 +1,27 @@
+#ifndef STATE_TERM_H_
+#define STATE_TERM_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Makes an incarnation the placer of its data centre. The offset is the
+//! fencing number.
+struct Term {
+  std::string data_centre;
+  uint64_t holder = 0;
+
+  friend bool operator==(const Term&, const Term&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(data_centre, holder);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_TERM_H_
--- /dev/null
+++ b/src/state/trial.h
@@ -0,0 +1,27 @@
+#ifndef STATE_TRIAL_H_
+#define STATE_TRIAL_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Claims the one repeat of a request that has crashed an endpoint.
+struct Trial {
+  std::string content;
+  uint64_t attempt = 0;
+  uint64_t entry = 0;
+
+  friend bool operator==(const Trial&, const Trial&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(content, attempt, entry);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_TRIAL_H_
--- /dev/null
+++ b/src/state/want.h
@@ -0,0 +1,27 @@
+#ifndef STATE_WANT_H_
+#define STATE_WANT_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! Tells other keepers that a holder is short of tokens of a budget.
+struct Want {
+  std::string organisation;
+  uint64_t holder = 0;
+  int64_t tokens = 0;
+
+  friend bool operator==(const Want&, const Want&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(organisation, holder, tokens);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_WANT_H_
