--- /dev/null
+++ b/src/coordination/admission_queue.cpp
@@ -0,0 +1,89 @@
+#include "coordination/admission_queue.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace tamaracktrail {
+
+bool AdmissionQueue::Push(Item item) {
+  const auto own = std::count_if(
+      items_.begin(), items_.end(),
+      [&](const Item& it) { return it.organisation == item.organisation; });
+  if (items_.size() >= options_.max_length ||
+      static_cast<size_t>(own) >= options_.max_per_organisation) {
+    return false;
+  }
+  // An organisation that was idle starts level with the others.
+  Account& account = accounts_[item.organisation];
+  account.served = std::max(account.served, virtual_time_);
+  items_.push_back(std::move(item));
+  return true;
+}
+
+std::optional<AdmissionQueue::Item> AdmissionQueue::Pop(
+    Millis now,
+    const std::string& service) {
+  auto best = items_.end();
+  for (auto it = items_.begin(); it != items_.end(); ++it) {
+    if (it->service == service &&
+        (best == items_.end() || Before(now, *it, *best))) {
+      best = it;
+    }
+  }
+  if (best == items_.end()) {
+    return std::nullopt;
+  }
+  Item item = std::move(*best);
+  items_.erase(best);
+  Account& account = accounts_[item.organisation];
+  virtual_time_ = std::max(virtual_time_, account.served);
+  account.served += static_cast<double>(std::max<int64_t>(item.tokens, 1));
+  if (items_.empty()) {
+    accounts_.clear();
+    virtual_time_ = 0;
+  }
+  return item;
+}
+
+std::vector<AdmissionQueue::Item> AdmissionQueue::TakeExpired(Millis now) {
+  std::vector<Item> expired;
+  std::erase_if(items_, [&](const Item& it) {
+    if (now < it.deadline) {
+      return false;
+    }
+    expired.push_back(it);
+    return true;
+  });
+  return expired;
+}
+
+bool AdmissionQueue::Remove(uint64_t id) {
+  return std::erase_if(items_, [&](const Item& it) { return it.id == id; }) > 0;
+}
+
+std::vector<std::string> AdmissionQueue::Services() const {
+  std::set<std::string> services;
+  for (const Item& it : items_) {
+    services.insert(it.service);
+  }
+  return {services.begin(), services.end()};
+}
+
+bool AdmissionQueue::Before(Millis now, const Item& a, const Item& b) const {
+  const int pa = EffectivePriority(now, a);
+  const int pb = EffectivePriority(now, b);
+  if (pa != pb) {
+    return pa < pb;
+  }
+  const double sa = accounts_.at(a.organisation).served;
+  const double sb = accounts_.at(b.organisation).served;
+  return sa != sb ? sa < sb : a.since < b.since;
+}
+
+int AdmissionQueue::EffectivePriority(Millis now, const Item& item) const {
+  const int64_t raised = (now - item.since).count() / options_.aging.count();
+  return item.priority - static_cast<int>(raised);
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/charge_custody.cpp
@@ -0,0 +1,150 @@
+#include "coordination/charge_custody.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+namespace tamaracktrail {
+
+namespace {
+
+bool Contains(std::span<const uint64_t> peers, uint64_t peer) {
+  return std::find(peers.begin(), peers.end(), peer) != peers.end();
+}
+
+}  // namespace
+
+ChargeCustody::ChargeCustody(uint64_t self, Options options)
+    : self_(self), options_(options) {}
+
+void ChargeCustody::Settle(Millis now,
+                           const SettleRequest& request,
+                           std::span<const uint64_t> peers,
+                           Outbox& outbox) {
+  CHECK_EQ(request.charge.entry, self_);
+  Held held{request, now, now, true, false, false, {}};
+  const uint64_t holder = request.charge.holder;
+  if (peers.empty()) {
+    held.sent_at = now - options_.widen_after;
+  } else {
+    const bool to_holder = holder != self_ && Contains(peers, holder);
+    const uint64_t to = to_holder ? holder : peers.front();
+    held.asked.insert(to);
+    outbox.Send(to, request);
+  }
+  held_[request.charge.attempt] = std::move(held);
+}
+
+void ChargeCustody::Hold(Millis now,
+                         const SettleRequest& request,
+                         Outbox& outbox) {
+  CHECK_NE(request.charge.holder, self_);
+  held_.try_emplace(request.charge.attempt,
+                    Held{request, now, now, false, true, false, {}});
+  outbox.Send(request.charge.entry, SettleReply{request.charge.attempt});
+}
+
+void ChargeCustody::Withdraw(const Charge& charge, Outbox& outbox) {
+  CHECK_EQ(charge.entry, self_);
+  outbox.Append(Void{charge.organisation, charge.key, charge.attempt});
+  held_.erase(charge.attempt);
+}
+
+void ChargeCustody::OnHeldElsewhere(uint64_t attempt) {
+  auto it = held_.find(attempt);
+  if (it != held_.end()) {
+    MarkSafe(attempt, it->second);
+  }
+}
+
+void ChargeCustody::OnConfirmed(uint64_t attempt, Outbox& outbox) {
+  auto it = held_.find(attempt);
+  if (it == held_.end()) {
+    return;
+  }
+  MarkSafe(attempt, it->second);
+  for (const uint64_t peer : it->second.asked) {
+    if (peer != it->second.request.charge.holder) {
+      outbox.Send(peer, ChargeConfirmed{attempt});
+    }
+  }
+  held_.erase(it);
+}
+
+void ChargeCustody::MarkSafe(uint64_t attempt, Held& held) {
+  if (held.own && !held.safe) {
+    settled_.push_back({attempt, Safety::kSafe});
+  }
+  held.safe = true;
+}
+
+void ChargeCustody::OnTick(Millis now,
+                           std::span<const uint64_t> peers,
+                           const std::function<bool(uint64_t)>& holder_gone,
+                           Outbox& outbox) {
+  for (auto it = held_.begin(); it != held_.end();) {
+    Held& held = it->second;
+    const Charge& charge = held.request.charge;
+    if (held.own && !held.safe &&
+        now >= held.since + options_.give_up_after) {
+      outbox.Append(Void{charge.organisation, charge.key, charge.attempt});
+      settled_.push_back({it->first, Safety::kNotSafe});
+      it = held_.erase(it);
+      continue;
+    }
+    if (!held.safe && now >= held.sent_at + options_.widen_after) {
+      held.sent_at = now;
+      for (const uint64_t peer : peers) {
+        held.asked.insert(peer);
+        outbox.Send(peer, held.request);
+      }
+      Append(held, holder_gone(charge.holder), outbox);
+    }
+    if (now >= held.since + options_.append_after) {
+      Append(held, holder_gone(charge.holder), outbox);
+    }
+    ++it;
+  }
+}
+
+void ChargeCustody::Append(Held& held, bool holder_gone, Outbox& outbox) {
+  const Charge& charge = held.request.charge;
+  // A charge under this instance's own share is appended by its keeper.
+  if (held.appended || charge.holder == self_) {
+    return;
+  }
+  held.appended = true;
+  outbox.Append(charge);
+  const int64_t rest = held.request.reserved - charge.tokens;
+  if (holder_gone && held.own && rest > 0) {
+    outbox.Append(Return{charge.organisation, charge.holder, rest});
+  }
+}
+
+std::vector<ChargeCustody::Settled> ChargeCustody::TakeSettled() {
+  return std::exchange(settled_, {});
+}
+
+std::vector<KeptShare> ChargeCustody::HeldFor(uint64_t holder) const {
+  std::vector<KeptShare> kept;
+  for (const auto& [attempt, held] : held_) {
+    const Charge& charge = held.request.charge;
+    if (charge.holder == holder) {
+      kept.push_back({charge.organisation, attempt,
+                      held.own ? held.request.reserved : charge.tokens});
+    }
+  }
+  return kept;
+}
+
+void ChargeCustody::ForwardFrom(uint64_t entry, Outbox& outbox) const {
+  for (const auto& [attempt, held] : held_) {
+    const Charge& charge = held.request.charge;
+    if (charge.entry == entry && charge.holder != self_) {
+      outbox.Send(charge.holder, held.request);
+    }
+  }
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/coordinator.cpp
@@ -0,0 +1,871 @@
+#include "coordination/coordinator.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "coordination/catalog.h"
+#include "coordination/rendezvous.h"
+#include "state/digest.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+const char kControlStream[] = "control";
+constexpr Millis kTermRetry{3000};
+constexpr Millis kPeerConfigRetry{500};
+constexpr Millis kEndedMemory = kHour;
+constexpr uint64_t kOverdueFactor = 3;
+
+}  // namespace
+
+Coordinator::Coordinator(InstanceId self,
+                         Options options,
+                         const BatchCodec* codec)
+    : self_(self),
+      options_(std::move(options)),
+      codec_(codec),
+      membership_(self, options_.data_centre, options_.membership),
+      control_(codec, ControlFold(options_.loads_per_minute)),
+      control_writer_(self.incarnation, codec, options_.ledger.writer),
+      custody_(self.incarnation, options_.custody),
+      placer_(options_.data_centre, options_.placer) {
+  CHECK_GT(options_.shards, 0u);
+  for (uint32_t i = 0; i < options_.shards; ++i) {
+    shards_.push_back(std::make_unique<LedgerShard>(
+        self.incarnation, i, options_.ledger, codec));
+  }
+}
+
+Coordinator::~Coordinator() = default;
+
+uint32_t Coordinator::ShardOf(const std::string& organisation) const {
+  return static_cast<uint32_t>(StableHash(organisation) % options_.shards);
+}
+
+uint64_t Coordinator::KeeperOf(Millis now, uint32_t shard) const {
+  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const uint64_t keeper =
+      RendezvousPick(LedgerShard::StreamName(shard), live);
+  return keeper == 0 ? self_.incarnation : keeper;
+}
+
+bool Coordinator::Serving(Millis now, uint32_t shard) const {
+  return !draining_ && KeeperOf(now, shard) == self_.incarnation;
+}
+
+// Messages.
+
+void Coordinator::OnMessage(Millis now,
+                            Millis wall,
+                            uint64_t from,
+                            const PeerMessage& message) {
+  if (membership_.Exited(from)) {
+    return;
+  }
+  std::visit([&](const auto& it) { Handle(now, wall, from, it); }, message);
+  Deliver(now, wall);
+}
+
+void Coordinator::Deliver(Millis now, Millis wall) {
+  while (!local_.empty()) {
+    std::vector<Outbox::Letter> local = std::exchange(local_, {});
+    for (const Outbox::Letter& it : local) {
+      std::visit(
+          [&](const auto& message) {
+            Handle(now, wall, self_.incarnation, message);
+          },
+          it.message);
+    }
+  }
+}
+
+void Coordinator::Collect(LedgerShard& shard, Outbox& outbox) {
+  shard.TakeRecords(outbox);
+  for (Outbox::Letter& it : outbox.letters) {
+    const bool own = it.to == self_.incarnation;
+    (own ? local_ : letters_).push_back(std::move(it));
+  }
+  outbox.letters.clear();
+}
+
+void Coordinator::Handle(Millis now, Millis, uint64_t, const Heartbeat& it) {
+  std::optional<uint64_t> replaced;
+  if (!membership_.OnHeartbeat(now, it, replaced)) {
+    return;
+  }
+  if (replaced.has_value()) {
+    OnExitEvidence(now, *replaced, "its address answers as another incarnation");
+  }
+  const Membership::Peer* peer = membership_.ByIncarnation(it.from.incarnation);
+  if (peer == nullptr || !peer->echoed_at.has_value()) {
+    return;
+  }
+  NewsNotice news;
+  for (const EndpointNews& item : it.endpoints) {
+    EndpointObservation seen;
+    seen.endpoint = item.endpoint;
+    seen.health = static_cast<EndpointHealth>(item.health);
+    seen.load = item.load;
+    // The peer sent this after it had our echoed heartbeat, so by our clock
+    // the probe was not before echo - age.
+    seen.as_of = *peer->echoed_at - item.age;
+    news.observations.push_back(std::move(seen));
+  }
+  if (!news.observations.empty()) {
+    notices_.push_back(std::move(news));
+  }
+}
+
+void Coordinator::Handle(Millis now,
+                         Millis wall,
+                         uint64_t,
+                         const ReserveRequest& it) {
+  Outbox outbox;
+  LedgerShard& shard = *shards_[ShardOf(it.organisation)];
+  shard.OnReserve(now, wall, it, outbox);
+  Collect(shard, outbox);
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const ReserveReply& it) {
+  auto open = reservations_.find(it.attempt);
+  if (open == reservations_.end()) {
+    return;
+  }
+  if (it.code == static_cast<int32_t>(ResultCode::kOk)) {
+    open->second.holder = it.holder;
+  } else {
+    reservations_.erase(open);
+  }
+  notices_.push_back(it);
+}
+
+void Coordinator::Handle(Millis now,
+                         Millis,
+                         uint64_t,
+                         const SettleRequest& it) {
+  Outbox outbox;
+  LedgerShard& shard = *shards_[ShardOf(it.charge.organisation)];
+  if (it.charge.holder == self_.incarnation) {
+    shard.OnSettle(now, it, outbox);
+  } else {
+    custody_.Hold(now, it, outbox);
+  }
+  Collect(shard, outbox);
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t from, const SettleReply& it) {
+  // This instance's own word does not make a charge safe.
+  if (from != self_.incarnation) {
+    custody_.OnHeldElsewhere(it.attempt);
+  }
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const ChargeConfirmed& it) {
+  Outbox outbox;
+  custody_.OnConfirmed(it.attempt, outbox);
+  AppendCustody(outbox);
+}
+
+void Coordinator::Handle(Millis now,
+                         Millis,
+                         uint64_t,
+                         const ReservationEnd& it) {
+  Outbox outbox;
+  LedgerShard& shard = *shards_[ShardOf(it.organisation)];
+  shard.OnReservationEnd(now, it, outbox);
+  Collect(shard, outbox);
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const RecordsNote& it) {
+  if (it.shard >= shards_.size()) {
+    return;
+  }
+  for (const Record& record : it.records) {
+    shards_[it.shard]->writer().Add(record);
+  }
+}
+
+void Coordinator::Handle(Millis now,
+                         Millis,
+                         uint64_t from,
+                         const OrphanQuery& it) {
+  if (it.holder == self_.incarnation) {
+    return;
+  }
+  OnExitEvidence(now, it.holder, "a peer has evidence of the exit");
+  Outbox outbox;
+  custody_.ForwardFrom(it.holder, outbox);
+  outbox.Send(from,
+              OrphanReport{it.holder, self_.incarnation, OwnOrphans(it.holder)});
+  AppendCustody(outbox);
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const OrphanReport& it) {
+  sweep_.OnReport(it);
+}
+
+void Coordinator::Handle(Millis,
+                         Millis,
+                         uint64_t from,
+                         const ConfigRequest& it) {
+  if (config_version_ > it.newer_than) {
+    letters_.push_back({from, ConfigReply{config_version_, configuration_}});
+  }
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const ConfigReply& it) {
+  AdoptConfiguration(it.version, it.configuration);
+}
+
+void Coordinator::Handle(Millis, Millis, uint64_t, const CrashNotice& it) {
+  crash_notices_[it.crash.content].insert(it.crash.attempt);
+}
+
+void Coordinator::Handle(Millis,
+                         Millis,
+                         uint64_t from,
+                         const ReservationQuery& it) {
+  for (const uint64_t attempt : it.attempts) {
+    // Silence is the answer for any attempt that may have a charge.
+    const auto ended = ended_.find(attempt);
+    if (ended != ended_.end()) {
+      Outbox outbox;
+      outbox.Send(from, ReservationEnd{ended->second.organisation, "", attempt,
+                                       from, false});
+      AppendCustody(outbox);
+    }
+  }
+}
+
+// Exits.
+
+void Coordinator::OnExitEvidence(Millis now,
+                                 uint64_t incarnation,
+                                 const std::string& evidence) {
+  if (incarnation == self_.incarnation) {
+    return;
+  }
+  if (!exit_evidence_.try_emplace(incarnation, evidence).second) {
+    return;
+  }
+  LOG(INFO) << "event=exit_evidence incarnation=" << Hex(incarnation)
+            << " evidence=\"" << evidence << "\"";
+  MarkExited(now, incarnation);
+}
+
+void Coordinator::MarkExited(Millis now, uint64_t incarnation) {
+  membership_.OnExit(incarnation);
+  exited_now_.push_back(incarnation);
+  swept_at_[incarnation] = now;
+  sweep_.Start(incarnation);
+}
+
+std::vector<KeptShare> Coordinator::OwnOrphans(uint64_t holder) const {
+  std::vector<KeptShare> kept = custody_.HeldFor(holder);
+  for (const auto& [attempt, it] : reservations_) {
+    if (it.holder == holder) {
+      kept.push_back({it.organisation, attempt, it.tokens});
+    }
+  }
+  return kept;
+}
+
+std::vector<uint64_t> Coordinator::SweepMembers() const {
+  std::vector<uint64_t> members = control_.fold().LiveIn(options_.data_centre);
+  std::erase_if(members, [this](uint64_t it) {
+    return it == self_.incarnation || exit_evidence_.contains(it);
+  });
+  return members;
+}
+
+std::map<std::string, uint64_t> Coordinator::Silent(Millis now) const {
+  std::map<std::string, uint64_t> silent;
+  const std::vector<uint64_t> live = membership_.LivePeers(now);
+  for (const uint64_t it : SweepMembers()) {
+    if (std::find(live.begin(), live.end(), it) == live.end()) {
+      silent[control_.fold().members().at(it).address] = it;
+    }
+  }
+  return silent;
+}
+
+// The log.
+
+void Coordinator::OnLogEntries(Millis now,
+                               const std::string& stream,
+                               std::span<const LogEntry> entries,
+                               bool at_end) {
+  if (stream == kControlStream) {
+    for (const LogEntry& entry : entries) {
+      for (const AppliedBatch& it : control_.Feed(entry)) {
+        OnControlApplied(now, it);
+      }
+    }
+    control_writer_.OnReadBack(
+        control_.chains().LastSequence(self_.incarnation));
+    control_caught_up_ = control_caught_up_ || (at_end && control_.live());
+    if (control_.fold().version() > config_version_) {
+      AdoptConfiguration(control_.fold().version(),
+                         control_.fold().configuration());
+    }
+    return;
+  }
+  for (auto& shard : shards_) {
+    if (shard->stream() == stream) {
+      Outbox outbox;
+      shard->OnEntries(now, entries, at_end, outbox);
+      Collect(*shard, outbox);
+    }
+  }
+}
+
+void Coordinator::OnControlApplied(Millis now, const AppliedBatch& batch) {
+  control_since_snapshot_ += batch.batch.records.size();
+  for (size_t i = 0; i < batch.batch.records.size(); ++i) {
+    const Record& record = batch.batch.records[i];
+    if (const auto* exit = std::get_if<Exit>(&record)) {
+      CHECK(exit->incarnation != self_.incarnation || leaving_)
+          << "this instance was recorded as exited while it runs";
+      OnExitEvidence(now, exit->incarnation, exit->evidence);
+    }
+    if (std::holds_alternative<ControlSnapshot>(record)) {
+      control_since_snapshot_ = 0;
+    }
+    const auto* order = std::get_if<Order>(&record);
+    const bool accepted = batch.verdicts[i] == FoldVerdict::kAccepted;
+    if (order != nullptr && accepted && placer_.MaySend(*order)) {
+      notices_.push_back(OrderNotice{*order});
+    }
+  }
+}
+
+void Coordinator::OnAppended(Millis now, const std::string& stream, bool ok) {
+  if (stream == kControlStream) {
+    control_writer_.OnAppended(now, ok);
+    return;
+  }
+  for (auto& shard : shards_) {
+    if (shard->stream() == stream) {
+      shard->writer().OnAppended(now, ok);
+    }
+  }
+}
+
+void Coordinator::AdoptConfiguration(uint64_t version,
+                                     const Configuration& configuration) {
+  if (version <= config_version_) {
+    return;
+  }
+  config_version_ = version;
+  configuration_ = configuration;
+  std::vector<SettingFault> faults;
+  catalog_ = std::make_shared<const Catalog>(
+      ParseCatalog(version, configuration.files, &faults));
+  LOG(INFO) << "event=configuration version=" << version
+            << " id=" << configuration.id << " faults=" << faults.size();
+  notices_.push_back(CatalogNotice{catalog_});
+}
+
+// Requests of the entry.
+
+void Coordinator::Reserve(Millis now,
+                          Millis wall,
+                          const ReserveRequest& request) {
+  const uint64_t keeper = KeeperOf(now, ShardOf(request.organisation));
+  reservations_[request.attempt] =
+      OpenReservation{request.organisation, keeper, 0, request.tokens};
+  const bool own = keeper == self_.incarnation;
+  (own ? local_ : letters_).push_back({keeper, request});
+  Deliver(now, wall);
+}
+
+void Coordinator::EndReservation(Millis now, const ReservationEnd& end) {
+  auto it = reservations_.find(end.attempt);
+  if (it == reservations_.end()) {
+    return;
+  }
+  const OpenReservation open = it->second;
+  reservations_.erase(it);
+  ended_[end.attempt] = {open.organisation, now};
+  const bool exited = membership_.Exited(open.keeper);
+  const std::vector<uint64_t> live = membership_.LivePeers(now);
+  const bool reachable =
+      open.keeper == self_.incarnation ||
+      std::find(live.begin(), live.end(), open.keeper) != live.end();
+  Outbox outbox;
+  if (!exited) {
+    ReservationEnd letter = end;
+    letter.holder = open.keeper;
+    outbox.Send(open.keeper, letter);
+  } else if (open.holder != 0) {
+    outbox.Append(Return{open.organisation, open.holder, open.tokens});
+  }
+  if (end.abandon && !reachable) {
+    outbox.Append(Abandon{end.organisation, end.key, end.attempt});
+  }
+  AppendCustody(outbox);
+  Deliver(now, Millis());
+}
+
+void Coordinator::Settle(Millis now, const SettleRequest& request) {
+  reservations_.erase(request.charge.attempt);
+  Outbox outbox;
+  if (request.charge.holder == self_.incarnation) {
+    LedgerShard& shard = *shards_[ShardOf(request.charge.organisation)];
+    shard.OnSettle(now, request, outbox);
+    Collect(shard, outbox);
+  }
+  const std::vector<uint64_t> peers = membership_.LivePeers(now);
+  custody_.Settle(now, request, peers, outbox);
+  AppendCustody(outbox);
+  Deliver(now, Millis());
+}
+
+void Coordinator::Withdraw(const Charge& charge) {
+  Outbox outbox;
+  custody_.Withdraw(charge, outbox);
+  AppendCustody(outbox);
+}
+
+void Coordinator::Note(const std::string& organisation, Record record) {
+  shards_[ShardOf(organisation)]->writer().Add(std::move(record));
+}
+
+void Coordinator::AppendCustody(Outbox& outbox) {
+  for (Record& record : outbox.records) {
+    std::visit(
+        [&](auto& it) {
+          if constexpr (requires { it.organisation; }) {
+            const uint32_t n = ShardOf(it.organisation);
+            const uint64_t ticket = shards_[n]->writer().Add(it);
+            if constexpr (std::is_same_v<std::decay_t<decltype(it)>, Charge>) {
+              custody_tickets_.push_back({n, ticket, it.attempt});
+            }
+          }
+        },
+        record);
+  }
+  outbox.records.clear();
+  for (Outbox::Letter& it : outbox.letters) {
+    const bool own = it.to == self_.incarnation;
+    (own ? local_ : letters_).push_back(std::move(it));
+  }
+  outbox.letters.clear();
+}
+
+// Content that has crashed endpoints.
+
+size_t Coordinator::CrashCount(const std::string& content) const {
+  const size_t recorded = control_.fold().CrashCount(content);
+  auto it = crash_notices_.find(content);
+  const size_t told = it == crash_notices_.end() ? 0 : it->second.size();
+  return std::max(recorded, told);
+}
+
+void Coordinator::CheckContent(Millis now,
+                               uint64_t attempt,
+                               const std::string& content) {
+  content_checks_[attempt] =
+      ContentCheck{content, now + options_.content_wait, false};
+  DecideContent(now, attempt);
+}
+
+void Coordinator::ReportCrash(Millis now,
+                              uint64_t attempt,
+                              const Crash& crash) {
+  control_writer_.Add(crash);
+  crash_notices_[crash.content].insert(crash.attempt);
+  for (const uint64_t peer : membership_.LivePeers(now)) {
+    letters_.push_back({peer, CrashNotice{crash}});
+  }
+  CheckContent(now, attempt, crash.content);
+}
+
+void Coordinator::ReportContentOk(uint64_t attempt,
+                                  const std::string& content) {
+  crash_notices_.erase(content);
+  if (control_.fold().TrialOf(content) == attempt) {
+    control_writer_.Add(Acquit{content, attempt});
+  }
+}
+
+void Coordinator::DecideContent(Millis now, uint64_t attempt) {
+  constexpr size_t kMostCrashes = 2;
+  ContentCheck& check = content_checks_.at(attempt);
+  const size_t crashes = CrashCount(check.content);
+  const std::optional<uint64_t> trial = control_.fold().TrialOf(check.content);
+  ResultCode code = ResultCode::kOk;
+  if (crashes >= kMostCrashes) {
+    code = ResultCode::kPoisonRequest;
+  } else if (crashes == 1 && trial.has_value() && *trial != attempt) {
+    code = ResultCode::kContentOnTrial;
+  } else if (crashes == 1 && trial != attempt) {
+    if (!check.recorded) {
+      check.recorded = true;
+      control_writer_.Add(Trial{check.content, attempt, self_.incarnation});
+    }
+    if (now < check.deadline) {
+      return;
+    }
+    code = ResultCode::kLogUnavailable;
+  }
+  notices_.push_back(ContentVerdict{attempt, code});
+  content_checks_.erase(attempt);
+}
+
+void Coordinator::TickContentChecks(Millis now) {
+  std::vector<uint64_t> attempts;
+  for (const auto& [attempt, check] : content_checks_) {
+    attempts.push_back(attempt);
+  }
+  for (const uint64_t it : attempts) {
+    DecideContent(now, it);
+  }
+}
+
+// Time.
+
+void Coordinator::OnTick(Millis now, Millis wall) {
+  JoinFleet();
+  CatchUpConfiguration(now);
+  TickContentChecks(now);
+  TickCustody(now);
+  TickSweeps(now);
+  TickShards(now, wall);
+  TickPlacer(now);
+  TickProbeDuty(now);
+  std::erase_if(ended_, [&](const auto& it) {
+    return it.second.at + kEndedMemory < now;
+  });
+  Deliver(now, wall);
+}
+
+void Coordinator::JoinFleet() {
+  if (join_sent_) {
+    return;
+  }
+  join_sent_ = true;
+  control_writer_.Add(
+      Join{self_.incarnation, self_.address, options_.data_centre});
+}
+
+bool Coordinator::joined() const {
+  return control_.fold().members().contains(self_.incarnation);
+}
+
+void Coordinator::CatchUpConfiguration(Millis now) {
+  if (now < peer_config_asked_ + kPeerConfigRetry) {
+    return;
+  }
+  for (const auto& [address, peer] : membership_.peers()) {
+    if (peer.config_version > config_version_ && peer.incarnation != 0) {
+      peer_config_asked_ = now;
+      letters_.push_back({peer.incarnation, ConfigRequest{config_version_}});
+      return;
+    }
+  }
+}
+
+void Coordinator::TickCustody(Millis now) {
+  Outbox outbox;
+  const std::vector<uint64_t> peers = membership_.LivePeers(now);
+  custody_.OnTick(
+      now, peers, [this](uint64_t it) { return membership_.Exited(it); },
+      outbox);
+  AppendCustody(outbox);
+  std::erase_if(custody_tickets_, [&](const CustodyTicket& it) {
+    const bool confirmed = shards_[it.shard]->writer().Confirmed(it.ticket);
+    if (confirmed) {
+      custody_.OnConfirmed(it.attempt, outbox);
+    }
+    return confirmed;
+  });
+  AppendCustody(outbox);
+  for (const ChargeCustody::Settled& it : custody_.TakeSettled()) {
+    const bool safe = it.safety == ChargeCustody::Safety::kSafe;
+    notices_.push_back(SettledNotice{it.attempt, safe});
+  }
+}
+
+void Coordinator::TickSweeps(Millis now) {
+  StartSweeps(now);
+  if (!control_caught_up_) {
+    return;  // The members are not known yet.
+  }
+  const std::vector<uint64_t> members = SweepMembers();
+  Outbox outbox;
+  sweep_.OnTick(now, members, outbox);
+  AppendCustody(outbox);
+  for (ExitSweep::Complete& it : sweep_.TakeComplete(members)) {
+    const OrphanReport own{it.exited, self_.incarnation, OwnOrphans(it.exited)};
+    std::map<uint64_t, KeptShare> kept;
+    for (const KeptShare& share : it.kept) {
+      kept[share.attempt] = share;
+    }
+    for (const KeptShare& share : own.kept) {
+      kept[share.attempt] = share;
+    }
+    std::vector<KeptShare> all;
+    for (const auto& [attempt, share] : kept) {
+      all.push_back(share);
+    }
+    for (auto& shard : shards_) {
+      shard->OnEntryExit(now, it.exited, outbox);
+      Collect(*shard, outbox);
+      if (Serving(now, shard->number()) && shard->caught_up()) {
+        shard->OnSweep(it.exited, all);
+      }
+    }
+    const auto member = control_.fold().members().find(it.exited);
+    const bool unrecorded =
+        member != control_.fold().members().end() && !member->second.exited;
+    if (unrecorded) {
+      control_writer_.Add(Exit{it.exited, exit_evidence_[it.exited]});
+    }
+  }
+}
+
+void Coordinator::StartSweeps(Millis now) {
+  // An earlier incarnation at this instance's own address is gone, because
+  // this process could bind it.
+  for (const auto& [incarnation, member] : control_.fold().members()) {
+    if (!member.exited && member.address == self_.address &&
+        incarnation != self_.incarnation) {
+      OnExitEvidence(now, incarnation, "its address is bound by another");
+    }
+  }
+  for (const auto& [incarnation, evidence] : exit_evidence_) {
+    Millis& at = swept_at_[incarnation];
+    if (now < at + options_.resweep) {
+      continue;
+    }
+    at = now;
+    const bool stuck =
+        std::any_of(shards_.begin(), shards_.end(), [&](const auto& shard) {
+          return Serving(now, shard->number()) &&
+                 !shard->view().fold().SharesOf(incarnation).empty();
+        });
+    if (stuck) {
+      sweep_.Start(incarnation);
+    }
+  }
+}
+
+void Coordinator::TickShards(Millis now, Millis wall) {
+  const std::vector<uint64_t> suspected = membership_.Suspected(now);
+  std::set<std::string> centres;
+  for (const auto& [incarnation, member] : control_.fold().members()) {
+    if (!member.exited) {
+      centres.insert(member.data_centre);
+    }
+  }
+  for (auto& shard : shards_) {
+    std::string designated;
+    uint64_t best = 0;
+    for (const std::string& it : centres) {
+      const uint64_t weight = RendezvousWeight(shard->stream(), it);
+      if (weight >= best) {
+        best = weight;
+        designated = it;
+      }
+    }
+    Outbox outbox;
+    shard->keeper().SetSuspected({suspected.begin(), suspected.end()});
+    shard->OnTick(now, wall, Serving(now, shard->number()),
+                  designated == options_.data_centre, outbox);
+    Collect(*shard, outbox);
+  }
+  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const bool designated =
+      RendezvousPick(kControlStream, live) == self_.incarnation;
+  const uint64_t limit = options_.control_snapshot_records *
+                         (designated ? 1 : kOverdueFactor);
+  if (control_since_snapshot_ >= limit && control_.live()) {
+    control_since_snapshot_ = 0;
+    control_writer_.Add(control_.MakeSnapshot());
+  }
+}
+
+void Coordinator::TickPlacer(Millis now) {
+  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const bool chosen = RendezvousPick("placer", live) == self_.incarnation;
+  const auto term = control_.fold().TermOf(options_.data_centre);
+  const bool held = term.has_value() && term->holder == self_.incarnation;
+  const bool wanted = catalog_ != nullptr && !catalog_->placements.empty() &&
+                      control_caught_up_ && chosen && !held;
+  if (wanted && now >= term_asked_ + kTermRetry) {
+    term_asked_ = now;
+    control_writer_.Add(Term{options_.data_centre, self_.incarnation});
+  }
+  placer_.SetTerm(now, held && !draining_
+                           ? std::optional(term->fencing_number)
+                           : std::nullopt);
+  if (catalog_ == nullptr) {
+    return;
+  }
+  std::vector<PlacementSpec> placements;
+  for (const auto& [name, it] : catalog_->placements) {
+    placements.push_back(it);
+  }
+  for (Order& it :
+       placer_.Decide(now, placements, endpoint_states_, demand_)) {
+    control_writer_.Add(std::move(it));
+  }
+}
+
+void Coordinator::TickProbeDuty(Millis now) {
+  if (catalog_ == nullptr) {
+    return;
+  }
+  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  std::vector<std::string> duty;
+  for (const auto& [name, spec] : catalog_->endpoints) {
+    if (spec.data_centre == options_.data_centre &&
+        RendezvousAmong(name, live, self_.incarnation, options_.probers)) {
+      duty.push_back(name);
+    }
+  }
+  if (duty != probe_duty_) {
+    probe_duty_ = duty;
+    notices_.push_back(ProbeDuty{std::move(duty)});
+  }
+}
+
+void Coordinator::ReportEndpoints(std::vector<EndpointNews> news,
+                                  std::vector<Placer::EndpointState> states,
+                                  std::map<std::string, int> demand) {
+  own_news_ = std::move(news);
+  endpoint_states_ = std::move(states);
+  demand_ = std::move(demand);
+}
+
+void Coordinator::SetSeeds(const std::vector<std::string>& addresses) {
+  membership_.SetSeeds(addresses);
+}
+
+void Coordinator::Drain() {
+  draining_ = true;
+}
+
+bool Coordinator::Drained() const {
+  if (custody_.size() > 0 || control_writer_.backlog() > 0) {
+    return false;
+  }
+  return std::all_of(shards_.begin(), shards_.end(), [this](const auto& it) {
+    return it->writer().backlog() == 0 &&
+           it->keeper().reservation_count() == 0 &&
+           it->keeper().pending_charge_count() == 0 &&
+           it->view().fold().SharesOf(self_.incarnation).empty();
+  });
+}
+
+void Coordinator::Leave() {
+  leaving_ = true;
+  control_writer_.Add(Exit{self_.incarnation, "graceful shutdown"});
+}
+
+// Results.
+
+std::vector<Outbox::Letter> Coordinator::TakeLetters() {
+  return std::exchange(letters_, {});
+}
+
+std::vector<Coordinator::AppendOrder> Coordinator::TakeAppends(Millis now,
+                                                               Millis wall) {
+  std::vector<AppendOrder> out;
+  if (auto payload = control_writer_.NextAppend(now, wall)) {
+    out.push_back({kControlStream, *std::move(payload)});
+  }
+  for (auto& shard : shards_) {
+    if (auto payload = shard->writer().NextAppend(now, wall)) {
+      out.push_back({shard->stream(), *std::move(payload)});
+    }
+  }
+  return out;
+}
+
+std::vector<EntryNotice> Coordinator::TakeNotices() {
+  return std::exchange(notices_, {});
+}
+
+std::vector<uint64_t> Coordinator::TakeExited() {
+  return std::exchange(exited_now_, {});
+}
+
+std::vector<std::pair<std::string, Heartbeat>> Coordinator::TakeHeartbeats(
+    Millis now) {
+  std::vector<std::pair<std::string, Heartbeat>> out;
+  for (const std::string& address : membership_.Due(now)) {
+    Heartbeat heartbeat =
+        membership_.MakeHeartbeat(now, address, config_version_, draining_);
+    heartbeat.endpoints = own_news_;
+    out.emplace_back(address, std::move(heartbeat));
+  }
+  return out;
+}
+
+std::map<std::string, uint64_t> Coordinator::Reads(Millis now) const {
+  std::map<std::string, uint64_t> reads;
+  reads[kControlStream] = control_.read_offset();
+  for (const auto& shard : shards_) {
+    const bool shares =
+        !shard->view().fold().SharesOf(self_.incarnation).empty();
+    if (shares || shard->Needed(Serving(now, shard->number()))) {
+      reads[shard->stream()] = shard->view().read_offset();
+    }
+  }
+  return reads;
+}
+
+CoordinatorStatus Coordinator::Status(Millis now) const {
+  CoordinatorStatus out;
+  out.address = self_.address;
+  out.data_centre = options_.data_centre;
+  out.incarnation = self_.incarnation;
+  out.config_version = config_version_;
+  out.joined = joined();
+  out.draining = draining_;
+  out.charges_in_custody = custody_.size();
+  out.open_sweeps = sweep_.open();
+  out.backlog = control_writer_.backlog();
+  out.append_failures = control_writer_.failures();
+  out.fencing_number = placer_.fencing_number().value_or(0);
+  const std::vector<uint64_t> live = membership_.LivePeers(now);
+  for (const auto& [address, peer] : membership_.peers()) {
+    const bool is_live =
+        std::find(live.begin(), live.end(), peer.incarnation) != live.end();
+    const char* state = is_live                ? "live"
+                        : peer.incarnation != 0 ? "suspected"
+                                                : "unknown";
+    out.peers.push_back(
+        {address, peer.incarnation, state, peer.config_version});
+  }
+  for (const auto& shard : shards_) {
+    const LedgerFold& fold = shard->view().fold();
+    CoordinatorStatus::ShardStatus it;
+    it.number = shard->number();
+    it.keeper = Serving(now, shard->number());
+    it.caught_up = shard->caught_up();
+    it.next_offset = shard->view().next_offset();
+    it.backlog = shard->writer().backlog();
+    it.reservations = shard->keeper().reservation_count();
+    it.reserved_tokens = shard->keeper().reserved();
+    it.dropped_batches = shard->view().dropped();
+    for (const auto& [organisation, budget] : fold.budgets()) {
+      for (const auto& [holder, share] : budget.shares) {
+        it.share_tokens += holder == self_.incarnation ? share : 0;
+        out.stuck_tokens += exit_evidence_.contains(holder) ? share : 0;
+      }
+    }
+    out.backlog += it.backlog;
+    out.append_failures =
+        std::max(out.append_failures, shard->writer().failures());
+    out.shards.push_back(it);
+  }
+  return out;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/endpoint_choice.cpp
@@ -0,0 +1,67 @@
+#include "coordination/endpoint_choice.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+#include <vector>
+
+#include <glog/logging.h>
+
+#include "coordination/rendezvous.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+size_t RandomIndex(size_t n, Random& random) {
+  return std::uniform_int_distribution<size_t>(0, n - 1)(random);
+}
+
+}  // namespace
+
+size_t RandomChoice::Pick(std::span<const EndpointCandidate> candidates,
+                          const std::string&,
+                          Random& random) const {
+  CHECK(!candidates.empty());
+  return RandomIndex(candidates.size(), random);
+}
+
+size_t LeastLoadedChoice::Pick(std::span<const EndpointCandidate> candidates,
+                               const std::string&,
+                               Random&) const {
+  CHECK(!candidates.empty());
+  const auto it = std::min_element(
+      candidates.begin(), candidates.end(),
+      [](const auto& a, const auto& b) { return a.load < b.load; });
+  return static_cast<size_t>(it - candidates.begin());
+}
+
+size_t AffinityChoice::Pick(std::span<const EndpointCandidate> candidates,
+                            const std::string& prefix,
+                            Random& random) const {
+  CHECK(!candidates.empty());
+  const double sum = std::accumulate(
+      candidates.begin(), candidates.end(), 0.0,
+      [](double n, const EndpointCandidate& it) { return n + it.load; });
+  const double bound =
+      load_bound * sum / static_cast<double>(candidates.size()) + load_slack;
+  if (!prefix.empty()) {
+    std::vector<std::pair<uint64_t, size_t>> order;
+    for (size_t i = 0; i < candidates.size(); ++i) {
+      order.emplace_back(RendezvousWeight(prefix, candidates[i].name), i);
+    }
+    const size_t n = std::min<size_t>(ranks, order.size());
+    std::partial_sort(order.begin(), order.begin() + n, order.end(),
+                      std::greater<>());
+    for (size_t i = 0; i < n; ++i) {
+      if (candidates[order[i].second].load <= bound) {
+        return order[i].second;
+      }
+    }
+  }
+  const size_t a = RandomIndex(candidates.size(), random);
+  const size_t b = RandomIndex(candidates.size(), random);
+  return candidates[b].load < candidates[a].load ? b : a;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/flow_action.h
@@ -0,0 +1,88 @@
+#ifndef COORDINATION_FLOW_ACTION_H_
+#define COORDINATION_FLOW_ACTION_H_
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "protocol/reservation_end.h"
+#include "protocol/reserve_request.h"
+#include "protocol/result_code.h"
+#include "protocol/run_state.h"
+#include "protocol/settle_request.h"
+#include "state/record.h"
+
+namespace tamaracktrail {
+
+//! Asks whether the content may run; answered by RequestFlow::OnContent.
+struct CheckContent {
+  std::string content;
+};
+
+//! Sends the call to an endpoint that is not in `exclude`; answered by
+//! RequestFlow::OnDispatched or OnNoEndpoint.
+struct DispatchCall {
+  int try_number = 1;
+  uint64_t resume_from = 0;
+  std::set<std::string> exclude;
+};
+
+//! Ends the attempt at the endpoint; no further events of it are wanted.
+struct CancelCall {};
+
+//! Finds out whether the endpoint has crashed; answered by
+//! RequestFlow::OnCrashVerdict.
+struct ConfirmCrash {
+  std::string endpoint;
+};
+
+//! Records the crash and claims the content's one repeat; answered by
+//! RequestFlow::OnContent.
+struct RecordCrash {
+  Crash crash;
+};
+
+//! Passes a piece of the answer on to the caller.
+struct ForwardChunk {
+  std::string data;
+};
+
+//! Hands the charge over; answered by RequestFlow::OnSettled.
+struct SettleCharge {
+  SettleRequest request;
+};
+
+//! Voids a charge that was handed over.
+struct WithdrawCharge {
+  Charge charge;
+};
+
+//! Appends a record to the organisation's ledger shard.
+struct NoteRecord {
+  Record record;
+};
+
+//! The end: the final event of the answer, or an error. The last action.
+struct FinishRequest {
+  ResultCode code = ResultCode::kOk;
+  RunState run_state = RunState::kNotRun;
+};
+
+//! What a request flow wants done.
+using FlowAction = std::variant<CheckContent,
+                                ReserveRequest,
+                                ReservationEnd,
+                                DispatchCall,
+                                CancelCall,
+                                ConfirmCrash,
+                                RecordCrash,
+                                ForwardChunk,
+                                SettleCharge,
+                                WithdrawCharge,
+                                NoteRecord,
+                                FinishRequest>;
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_FLOW_ACTION_H_
--- /dev/null
+++ b/src/coordination/flow_spec.h
@@ -0,0 +1,31 @@
+#ifndef COORDINATION_FLOW_SPEC_H_
+#define COORDINATION_FLOW_SPEC_H_
+
+#include <cstdint>
+#include <string>
+
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! What a request flow needs to know of its request. Immutable.
+struct FlowSpec {
+  std::string organisation;
+  std::string key;
+  std::string service;
+  std::string content;  //!< Hash of the content, for crash records.
+  uint64_t entry = 0;
+  uint64_t attempt = 0;  //!< Names the reservation, the claim and the charge.
+  uint64_t config_version = 0;
+  int64_t worst_case = 0;    //!< Tokens to reserve.
+  int64_t fixed_cost = 0;    //!< Tokens of a plain call; 0 for a model's usage.
+  bool repeatable = true;
+  bool resumable = false;
+  int max_tries = 3;
+  Millis reserve_timeout{4500};
+  Millis idle_timeout{30000};  //!< Longest silence of an endpoint.
+};
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_FLOW_SPEC_H_
--- a/src/coordination/keeper.cpp
+++ b/src/coordination/keeper.cpp
@@ -104,7 +104,8 @@
                            Outbox& outbox) {
   books_[request.organisation].reserved += request.tokens;
   reservations_[request.attempt] = Reservation{
-      request, !request.claim, now + options_.claim_wait};
+      request, !request.claim, now + options_.claim_wait,
+      now + options_.query_after};
   if (!request.claim) {
     Reply(request, ResultCode::kOk, outbox);
     return;
@@ -336,6 +337,7 @@
 template <SharePolicy Policy>
 void Keeper<Policy>::OnTick(Millis now, bool serving, Outbox& outbox) {
   ExpireClaims(now, outbox);
+  QueryEntries(now, outbox);
   for (auto& [organisation, book] : books_) {
     ExpireQueue(now, organisation, outbox);
     if (!book.queue.empty()) {
@@ -365,6 +367,20 @@
   }
 }
 
+template <SharePolicy Policy>
+void Keeper<Policy>::QueryEntries(Millis now, Outbox& outbox) {
+  std::map<uint64_t, ReservationQuery> queries;
+  for (auto& [attempt, it] : reservations_) {
+    if (it.claimed && now >= it.query_at) {
+      it.query_at = now + options_.query_after;
+      queries[it.request.entry].attempts.push_back(attempt);
+    }
+  }
+  for (auto& [entry, query] : queries) {
+    outbox.Send(entry, std::move(query));
+  }
+}
+
 template <SharePolicy Policy>
 void Keeper<Policy>::ExpireQueue(Millis now,
                                  const std::string& organisation,
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -33,6 +33,8 @@
     Millis reserve_wait{2000};  //!< Longest wait for tokens before a refusal.
     Millis claim_wait{3000};    //!< Longest wait for a claim's read-back.
     Millis want_interval{500};  //!< Between two wants for one budget.
+    Millis query_after{5000};   //!< Age at which an entry is asked whether a
+                                //!< reservation has ended, and again.
     int64_t data_centres = 1;
   };
 
@@ -99,6 +101,7 @@
     ReserveRequest request;
     bool claimed = true;  //!< False while the claim is on its way.
     Millis claim_deadline;
+    Millis query_at;
   };
 
   struct PendingCharge {
@@ -122,6 +125,7 @@
   void ServeQueue(Millis now, const std::string& organisation, Outbox& outbox);
   void ExpireQueue(Millis now, const std::string& organisation, Outbox& outbox);
   void ExpireClaims(Millis now, Outbox& outbox);
+  void QueryEntries(Millis now, Outbox& outbox);
   void CheckBook(const std::string& organisation) const;
 
   void On(Millis now, const Charge& record, const AppliedBatch& batch,
--- /dev/null
+++ b/src/coordination/ledger_shard.cpp
@@ -0,0 +1,143 @@
+#include "coordination/ledger_shard.h"
+
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr uint64_t kOverdueFactor = 3;
+
+}  // namespace
+
+LedgerShard::LedgerShard(uint64_t self,
+                         uint32_t number,
+                         const Options& options,
+                         const BatchCodec* codec)
+    : self_(self),
+      number_(number),
+      options_(options),
+      view_(codec, LedgerFold(options.key_window)),
+      writer_(self, codec, options.writer),
+      keeper_(self,
+              EscrowPolicy(options.hold, options.cover),
+              options.keeper,
+              &view_.fold()) {}
+
+std::string LedgerShard::StreamName(uint32_t number) {
+  return absl::StrCat("ledger-", number);
+}
+
+std::string LedgerShard::stream() const {
+  return StreamName(number_);
+}
+
+void LedgerShard::OnEntries(Millis now,
+                            std::span<const LogEntry> entries,
+                            bool at_end,
+                            Outbox& outbox) {
+  for (const LogEntry& entry : entries) {
+    for (const AppliedBatch& it : view_.Feed(entry)) {
+      since_snapshot_ += it.batch.records.size();
+      for (const Record& record : it.batch.records) {
+        if (std::holds_alternative<LedgerSnapshot>(record)) {
+          since_snapshot_ = 0;
+        }
+      }
+      keeper_.OnApplied(now, it, outbox);
+    }
+  }
+  writer_.OnReadBack(view_.chains().LastSequence(self_));
+  caught_up_ = caught_up_ || (at_end && view_.live());
+}
+
+void LedgerShard::OnReserve(Millis now,
+                            Millis wall,
+                            const ReserveRequest& request,
+                            Outbox& outbox) {
+  if (!caught_up_) {
+    early_.push_back({request, now + options_.keeper.reserve_wait});
+    return;
+  }
+  keeper_.OnReserve(now, wall, request, outbox);
+}
+
+void LedgerShard::OnSettle(Millis now,
+                           const SettleRequest& request,
+                           Outbox& outbox) {
+  keeper_.OnSettle(now, request, outbox);
+}
+
+void LedgerShard::OnReservationEnd(Millis now,
+                                   const ReservationEnd& end,
+                                   Outbox& outbox) {
+  std::erase_if(early_, [&](const Early& it) {
+    return it.request.attempt == end.attempt;
+  });
+  keeper_.OnReservationEnd(now, end, outbox);
+}
+
+void LedgerShard::OnEntryExit(Millis now, uint64_t entry, Outbox& outbox) {
+  std::erase_if(early_,
+                [&](const Early& it) { return it.request.entry == entry; });
+  keeper_.OnEntryExit(now, entry, outbox);
+}
+
+void LedgerShard::OnSweep(uint64_t exited, const std::vector<KeptShare>& kept) {
+  Release release{exited, "all instances of the data centre reported", {}};
+  for (const KeptShare& it : kept) {
+    if (view_.fold().BudgetOf(it.organisation).Share(exited) > 0) {
+      release.kept.push_back(it);
+    }
+  }
+  writer_.Add(std::move(release));
+}
+
+void LedgerShard::OnTick(Millis now,
+                         Millis wall,
+                         bool serving,
+                         bool designated,
+                         Outbox& outbox) {
+  ServeEarly(now, wall, outbox);
+  keeper_.OnTick(now, serving, outbox);
+  const uint64_t limit =
+      options_.snapshot_records * (designated ? 1 : kOverdueFactor);
+  const bool due = serving && since_snapshot_ >= limit;
+  if (due && view_.live() && writer_.failures() == 0) {
+    since_snapshot_ = 0;
+    writer_.Add(view_.MakeSnapshot());
+  }
+}
+
+void LedgerShard::ServeEarly(Millis now, Millis wall, Outbox& outbox) {
+  std::deque<Early> early = std::exchange(early_, {});
+  for (Early& it : early) {
+    if (caught_up_) {
+      keeper_.OnReserve(now, wall, it.request, outbox);
+    } else if (now >= it.deadline) {
+      outbox.Send(
+          it.request.entry,
+          ReserveReply{it.request.attempt,
+                       static_cast<int32_t>(ResultCode::kBudgetUnavailable),
+                       self_, it.request.tokens});
+    } else {
+      early_.push_back(std::move(it));
+    }
+  }
+}
+
+void LedgerShard::TakeRecords(Outbox& outbox) {
+  for (Record& it : outbox.records) {
+    writer_.Add(std::move(it));
+  }
+  outbox.records.clear();
+}
+
+bool LedgerShard::Needed(bool serving) const {
+  return serving || !early_.empty() || writer_.backlog() > 0 ||
+         keeper_.reservation_count() > 0 || keeper_.pending_charge_count() > 0;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/placement_spec.h
@@ -0,0 +1,23 @@
+#ifndef COORDINATION_PLACEMENT_SPEC_H_
+#define COORDINATION_PLACEMENT_SPEC_H_
+
+#include <string>
+
+namespace tamaracktrail {
+
+//! How many endpoints of a data centre are to have a model, adapter or version
+//! loaded.
+struct PlacementSpec {
+  std::string name;
+  std::string service;
+  std::string data_centre;
+  std::string target;  //!< Model, adapter or version.
+  int min_copies = 1;
+  int max_copies = 1;
+
+  friend bool operator==(const PlacementSpec&, const PlacementSpec&) = default;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_PLACEMENT_SPEC_H_
--- /dev/null
+++ b/src/coordination/rendezvous.cpp
@@ -0,0 +1,44 @@
+#include "coordination/rendezvous.h"
+
+#include <algorithm>
+
+#include "state/digest.h"
+
+namespace tamaracktrail {
+
+uint64_t RendezvousWeight(const std::string& key,
+                          const std::string& candidate) {
+  return StableHash(candidate, StableHash(key));
+}
+
+uint64_t RendezvousWeight(const std::string& key, uint64_t candidate) {
+  return RendezvousWeight(key, Hex(candidate));
+}
+
+uint64_t RendezvousPick(const std::string& key,
+                        std::span<const uint64_t> candidates) {
+  uint64_t best = 0;
+  uint64_t best_weight = 0;
+  for (const uint64_t it : candidates) {
+    const uint64_t weight = RendezvousWeight(key, it);
+    if (best == 0 || weight > best_weight) {
+      best = it;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+bool RendezvousAmong(const std::string& key,
+                     std::span<const uint64_t> candidates,
+                     uint64_t self,
+                     size_t n) {
+  const uint64_t own = RendezvousWeight(key, self);
+  const auto higher =
+      std::count_if(candidates.begin(), candidates.end(), [&](uint64_t it) {
+        return it != self && RendezvousWeight(key, it) > own;
+      });
+  return static_cast<size_t>(higher) < n;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/coordination/rendezvous.h
@@ -0,0 +1,27 @@
+#ifndef COORDINATION_RENDEZVOUS_H_
+#define COORDINATION_RENDEZVOUS_H_
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace tamaracktrail {
+
+//! Rendezvous weight of `candidate` for `key`; the highest wins. Thread-safe.
+uint64_t RendezvousWeight(const std::string& key, const std::string& candidate);
+uint64_t RendezvousWeight(const std::string& key, uint64_t candidate);
+
+//! The candidate with the highest weight; 0 for no candidate. Thread-safe.
+uint64_t RendezvousPick(const std::string& key,
+                        std::span<const uint64_t> candidates);
+
+//! Whether `self` is among the `n` highest of `candidates`. Thread-safe.
+bool RendezvousAmong(const std::string& key,
+                     std::span<const uint64_t> candidates,
+                     uint64_t self,
+                     size_t n);
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_RENDEZVOUS_H_
--- /dev/null
+++ b/src/coordination/retry_budget.h
@@ -0,0 +1,35 @@
+#ifndef COORDINATION_RETRY_BUDGET_H_
+#define COORDINATION_RETRY_BUDGET_H_
+
+#include <algorithm>
+
+namespace tamaracktrail {
+
+//! Limits retries to a part of the requests, so that retries cannot multiply
+//! an overload. Not thread-safe.
+class RetryBudget {
+ public:
+  //! `ratio` retries are earned by each request; at most `burst` are saved up.
+  RetryBudget(double ratio, double burst)
+      : ratio_(ratio), burst_(burst), tokens_(burst) {}
+
+  void OnRequest() { tokens_ = std::min(burst_, tokens_ + ratio_); }
+
+  //! Takes one retry if there is one.
+  bool TakeRetry() {
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+ private:
+  double ratio_;
+  double burst_;
+  double tokens_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_RETRY_BUDGET_H_
--- a/src/protocol/peer_message.h
+++ b/src/protocol/peer_message.h
@@ -13,6 +13,7 @@
 #include "protocol/orphan_report.h"
 #include "protocol/records_note.h"
 #include "protocol/reservation_end.h"
+#include "protocol/reservation_query.h"
 #include "protocol/reserve_reply.h"
 #include "protocol/reserve_request.h"
 #include "protocol/settle_reply.h"
@@ -35,7 +36,8 @@
                                  OrphanReport,
                                  ConfigRequest,
                                  ConfigReply,
-                                 CrashNotice>;
+                                 CrashNotice,
+                                 ReservationQuery>;
 
 }  // namespace tamaracktrail
 
--- /dev/null
+++ b/src/protocol/reservation_query.h
@@ -0,0 +1,25 @@
+#ifndef PROTOCOL_RESERVATION_QUERY_H_
+#define PROTOCOL_RESERVATION_QUERY_H_
+
+#include <cstdint>
+#include <vector>
+
+#include <cereal/types/vector.hpp>
+
+namespace tamaracktrail {
+
+//! Asks an entry which of its reservations have ended without a charge.
+struct ReservationQuery {
+  std::vector<uint64_t> attempts;
+
+  friend bool operator==(const ReservationQuery&, const ReservationQuery&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempts);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_RESERVATION_QUERY_H_
--- a/src/protocol/result_code.h
+++ b/src/protocol/result_code.h
@@ -46,6 +46,7 @@
   kAnswerIncomplete = 6004,
   kPoisonRequest = 6005,
   kEndpointError = 6006,
+  kContentOnTrial = 6007,
 };
 
 }  // namespace tamaracktrail
--- a/src/protocol/result_info.cpp
+++ b/src/protocol/result_info.cpp
@@ -77,6 +77,8 @@
      "The content has crashed two endpoints and is not run again."},
     {R::kEndpointError, "endpoint_error", 502, kRan, 0,
      "The endpoint answered with an error; not billed."},
+    {R::kContentOnTrial, "content_on_trial", 503, kNot, 5,
+     "The content has crashed an endpoint and its one repeat is in progress."},
 };
 
 }  // namespace
--- /dev/null
+++ b/src/state/acquit.h
@@ -0,0 +1,27 @@
+#ifndef STATE_ACQUIT_H_
+#define STATE_ACQUIT_H_
+
+#include <cstdint>
+#include <string>
+
+#include <cereal/types/string.hpp>
+
+namespace tamaracktrail {
+
+//! The repeat that a trial allowed ended well: the content's crashes are
+//! forgotten.
+struct Acquit {
+  std::string content;
+  uint64_t attempt = 0;
+
+  friend bool operator==(const Acquit&, const Acquit&) = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(content, attempt);
+  }
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_ACQUIT_H_
--- a/src/state/control_fold.cpp
+++ b/src/state/control_fold.cpp
@@ -61,7 +61,7 @@
 
 template <class Archive>
 void ControlFold::serialize(Archive& archive) {
-  archive(clock_, version_, configuration_, published_, members_, contents_,
+  archive(clock_, loads_, version_, configuration_, published_, members_, contents_,
           terms_);
 }
 
@@ -120,6 +120,14 @@
   return FoldVerdict::kAccepted;
 }
 
+FoldVerdict ControlFold::On(const Acquit& record, const FoldContext&) {
+  if (TrialOf(record.content) != record.attempt) {
+    return FoldVerdict::kLostRace;
+  }
+  contents_.erase(record.content);
+  return FoldVerdict::kAccepted;
+}
+
 FoldVerdict ControlFold::On(const Term& record, const FoldContext& context) {
   terms_[record.data_centre] = TermState{record.holder, context.offset, clock_.now()};
   return FoldVerdict::kAccepted;
@@ -129,7 +137,19 @@
   const std::optional<TermState> term = TermOf(record.data_centre);
   const bool current =
       term.has_value() && term->fencing_number == record.fencing_number;
-  return current ? FoldVerdict::kAccepted : FoldVerdict::kLostRace;
+  if (!current) {
+    return FoldVerdict::kLostRace;
+  }
+  if (record.action != "load") {
+    return FoldVerdict::kAccepted;
+  }
+  std::erase_if(loads_,
+                [this](Millis it) { return it + kMinute <= clock_.now(); });
+  if (loads_.size() >= loads_per_minute_) {
+    return FoldVerdict::kExceedsShare;
+  }
+  loads_.push_back(clock_.now());
+  return FoldVerdict::kAccepted;
 }
 
 template <class Other>
--- a/src/state/control_fold.h
+++ b/src/state/control_fold.h
@@ -22,6 +22,12 @@
  public:
   using Snapshot = ControlSnapshot;
 
+  //! At most `loads_per_minute` load orders are accepted in a minute of fold
+  //! time, which keeps the whole fleet within the weight store's rate; the
+  //! number must be the same in the whole fleet.
+  explicit ControlFold(size_t loads_per_minute = 60)
+      : loads_per_minute_(loads_per_minute) {}
+
   struct Member {
     std::string address;
     std::string data_centre;
@@ -91,12 +97,15 @@
   FoldVerdict On(const Exit& record, const FoldContext& context);
   FoldVerdict On(const Crash& record, const FoldContext& context);
   FoldVerdict On(const Trial& record, const FoldContext& context);
+  FoldVerdict On(const Acquit& record, const FoldContext& context);
   FoldVerdict On(const Term& record, const FoldContext& context);
   FoldVerdict On(const Order& record, const FoldContext& context);
   template <class Other>
   FoldVerdict On(const Other& record, const FoldContext& context);
 
+  size_t loads_per_minute_;
   FoldClock clock_;
+  std::vector<Millis> loads_;  //!< Accepted in the last minute.
   uint64_t version_ = 0;
   Configuration configuration_;
   std::map<std::string, uint64_t> published_;
--- a/src/state/key_state.h
+++ b/src/state/key_state.h
@@ -17,6 +17,7 @@
   };
 
   Phase phase = Phase::kNone;
+  bool claimed = false;  //!< Non-repeatable: never back to kNone once run.
   bool carried = false;  //!< Never expires: a claim under an opaque key.
   uint64_t attempt = 0;
   int64_t tokens = 0;
@@ -27,7 +28,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(phase, carried, attempt, tokens, code, seen);
+    archive(phase, claimed, carried, attempt, tokens, code, seen);
   }
 };
 
--- a/src/state/ledger_fold.cpp
+++ b/src/state/ledger_fold.cpp
@@ -166,6 +166,7 @@
   }
   state.phase = KeyState::Phase::kClaimed;
   state.attempt = record.attempt;
+  state.claimed = true;
   state.carried = !RequestKeyTime(record.key).has_value();
   state.seen = now();
   keys_[id] = state;
@@ -207,9 +208,7 @@
 }
 
 FoldVerdict LedgerFold::On(const Release& record, const FoldContext&) {
-  if (!exited_.insert(record.holder).second) {
-    return FoldVerdict::kRepeat;
-  }
+  exited_.insert(record.holder);
   for (const auto& [organisation, share] : SharesOf(record.holder)) {
     int64_t kept = 0;
     for (const KeptShare& it : record.kept) {
@@ -238,7 +237,12 @@
   budget.charged -= state.tokens;
   budget.undrawn += state.tokens;
   budget.CheckInvariant();
-  keys_.erase(id);
+  if (state.claimed) {
+    keys_[id].phase = KeyState::Phase::kDone;
+    keys_[id].tokens = 0;
+  } else {
+    keys_.erase(id);
+  }
   return FoldVerdict::kAccepted;
 }
 
--- a/src/state/record.h
+++ b/src/state/record.h
@@ -4,6 +4,7 @@
 #include <variant>
 
 #include "state/abandon.h"
+#include "state/acquit.h"
 #include "state/charge.h"
 #include "state/claim.h"
 #include "state/configuration.h"
@@ -49,7 +50,8 @@
                             Term,
                             Order,
                             ControlSnapshot,
-                            Void>;
+                            Void,
+                            Acquit>;
 
 }  // namespace tamaracktrail
 
--- /dev/null
+++ b/src/transport/http_client.h
@@ -0,0 +1,49 @@
+#ifndef TRANSPORT_HTTP_CLIENT_H_
+#define TRANSPORT_HTTP_CLIENT_H_
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "state/millis.h"
+#include "transport/http_reply.h"
+
+typedef struct _SoupSession SoupSession;
+
+namespace tamaracktrail {
+
+//! Sends whole HTTP requests. Belongs to the task that made it.
+class HttpClient {
+ public:
+  struct Request {
+    std::string method = "GET";
+    std::string url;
+    std::string body;
+    std::string content_type = "application/json";
+    std::map<std::string, std::string> headers;
+    Millis timeout{5000};  //!< For the whole exchange.
+  };
+
+  using Done = std::function<void(absl::StatusOr<HttpReply>)>;
+
+  HttpClient();
+  ~HttpClient();
+
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  //! Calls `done` once, on this task. kUnavailable: no connection;
+  //! kDeadlineExceeded: `timeout` passed; kUnknown: failed after bytes were
+  //! sent. Calls in progress when the client is destroyed get kCancelled.
+  void Send(const Request& request, Done done);
+
+  SoupSession* session() { return session_; }
+
+ private:
+  SoupSession* session_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_HTTP_CLIENT_H_
