Run the whole path: serve, stand-ins, commands and the demo

Cause: the decisions had no process around them. Change: GLib tasks for callers, endpoints, peers and the log; the commands serve, check, publish, topup, status, audit, release and hash-key; stand-ins for the log, list, weight store, engines and records; tools/demo.sh. Result: the demo serves a streamed chat, runs a fee payment sent twice once, refuses a request over budget and explains all three. It also showed 2088 batches for a few requests: a keeper that returned its share at shutdown drew it again at once. A keeper that does not serve now draws for waiting requests only.

--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,67 @@
+#include <cstring>
+#include <iostream>
+
+#include <glog/logging.h>
+
+#include "absl/flags/parse.h"
+#include "cli/command.h"
+
+namespace {
+
+using tamaracktrail::AllCommands;
+using tamaracktrail::Command;
+using tamaracktrail::ExitCode;
+
+int Usage(std::ostream& out, ExitCode code) {
+  out << "usage: tamaracktrail COMMAND ...\n";
+  for (const Command& it : AllCommands()) {
+    out << "  " << it.synopsis << "\n";
+  }
+  return static_cast<int>(code);
+}
+
+const Command* FindCommand(const std::string& name) {
+  for (const Command& it : AllCommands()) {
+    if (name == it.name) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+//! Logs go to stderr, one line an event; glog's own flags stay unused.
+void SetUpLogging(const char* program) {
+  FLAGS_logtostderr = true;
+  FLAGS_log_prefix = false;
+  google::InitGoogleLogging(program);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  if (argc < 2) {
+    return Usage(std::cerr, ExitCode::kBadInput);
+  }
+  const Command* command = FindCommand(argv[1]);
+  if (command == nullptr) {
+    const bool asked = std::strcmp(argv[1], "--help") == 0;
+    return asked ? Usage(std::cout, ExitCode::kOk)
+                 : Usage(std::cerr, ExitCode::kBadInput);
+  }
+  for (int i = 2; i < argc; ++i) {
+    if (std::strcmp(argv[i], "--help") == 0) {
+      std::cout << "usage: tamaracktrail " << command->synopsis << "\n"
+                << command->help << "\n";
+      return static_cast<int>(ExitCode::kOk);
+    }
+  }
+  SetUpLogging(argv[0]);
+  const std::vector<char*> rest = absl::ParseCommandLine(argc, argv);
+  Command::Arguments arguments(rest.begin() + 2, rest.end());
+  if (arguments.size() < command->min_arguments ||
+      arguments.size() > command->max_arguments) {
+    std::cerr << "usage: tamaracktrail " << command->synopsis << "\n";
+    return static_cast<int>(ExitCode::kBadInput);
+  }
+  return static_cast<int>(command->run(arguments));
+}
--- a/src/coordination/endpoint_table.cpp
+++ b/src/coordination/endpoint_table.cpp
@@ -1,6 +1,7 @@
 #include "coordination/endpoint_table.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include <glog/logging.h>
@@ -115,7 +116,8 @@
 
 std::vector<EndpointCandidate> EndpointTable::Candidates(
     Millis now,
-    const std::string& service) const {
+    const std::string& service,
+    bool with_full) const {
   std::vector<EndpointCandidate> local;
   std::vector<EndpointCandidate> remote;
   for (const auto& [name, entry] : entries_) {
@@ -123,7 +125,7 @@
       continue;
     }
     const double load = Load(now, entry);
-    if (load >= 1) {
+    if (load >= 1 && !with_full) {
       continue;
     }
     const bool is_local = entry.spec.data_centre == data_centre_;
@@ -132,6 +134,16 @@
   return local.empty() ? remote : local;
 }
 
+int EndpointTable::Room(Millis now, const std::string& service) const {
+  double room = 0;
+  for (const EndpointCandidate& it : Candidates(now, service)) {
+    const Entry& entry = entries_.at(it.name);
+    room += std::ceil((1 - it.load) * entry.spec.capacity *
+                      RampOf(now, entry));
+  }
+  return static_cast<int>(room);
+}
+
 bool EndpointTable::Usable(Millis now, const std::string& endpoint) const {
   auto it = entries_.find(endpoint);
   return it != entries_.end() && Dispatchable(now, it->second);
--- a/src/coordination/endpoint_table.h
+++ b/src/coordination/endpoint_table.h
@@ -51,10 +51,15 @@
   enum class Finish { kOk, kFailed, kRefused };
   void OnFinish(Millis now, const std::string& endpoint, Finish finish);
 
-  //! Endpoints of a service that may get a request now, this data centre's
-  //! first; others only where this one has none with room.
+  //! Endpoints of a service that may get a request now: this data centre's, and
+  //! others only where this one has none. Those at their capacity are left out
+  //! unless `with_full`.
   std::vector<EndpointCandidate> Candidates(Millis now,
-                                            const std::string& service) const;
+                                            const std::string& service,
+                                            bool with_full = false) const;
+
+  //! Further requests that the candidates have room for.
+  int Room(Millis now, const std::string& service) const;
 
   //! Whether one endpoint may get a request now.
   bool Usable(Millis now, const std::string& endpoint) const;
--- a/src/coordination/keeper.cpp
+++ b/src/coordination/keeper.cpp
@@ -336,6 +336,7 @@
 
 template <SharePolicy Policy>
 void Keeper<Policy>::OnTick(Millis now, bool serving, Outbox& outbox) {
+  serving_ = serving;
   ExpireClaims(now, outbox);
   QueryEntries(now, outbox);
   for (auto& [organisation, book] : books_) {
@@ -437,7 +438,10 @@
     return;
   }
   const StockView view = ViewOf(now, organisation);
-  const int64_t draw = policy_.Draw(view);
+  // A keeper that hands over draws for waiting requests only.
+  const int64_t queued = std::clamp<int64_t>(view.queued - view.available, 0,
+                                             view.undrawn);
+  const int64_t draw = serving_ ? policy_.Draw(view) : queued;
   if (draw > 0) {
     book.draws_in_flight += draw;
     outbox.Append(Draw{organisation, self_, draw});
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -149,6 +149,7 @@
   std::map<uint64_t, Reservation> reservations_;      //!< By attempt.
   std::map<uint64_t, PendingCharge> pending_charges_;  //!< By attempt.
   std::set<uint64_t> suspected_;
+  bool serving_ = true;
 };
 
 }  // namespace tamaracktrail
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -23,6 +23,11 @@
   return {CheckContent{spec_.content}};
 }
 
+RequestFlow::Actions RequestFlow::Refuse(ResultCode code) {
+  CHECK(phase_ == Phase::kNew);
+  return Fail(code);
+}
+
 RequestFlow::Actions RequestFlow::OnContent(Millis now, ResultCode verdict) {
   if (phase_ == Phase::kRecordingCrash) {
     return verdict == ResultCode::kOk ? RetryCut(now) : Fail(verdict);
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -31,6 +31,9 @@
 
   Actions Start(Millis now);
 
+  //! Ends a request that was not started. Precondition: Start was not called.
+  Actions Refuse(ResultCode code);
+
   //! Verdict on the content: kOk to go on, else the reason to refuse.
   Actions OnContent(Millis now, ResultCode verdict);
 
--- /dev/null
+++ b/src/protocol/sse_parser.h
@@ -0,0 +1,32 @@
+#ifndef PROTOCOL_SSE_PARSER_H_
+#define PROTOCOL_SSE_PARSER_H_
+
+#include <string>
+#include <vector>
+
+namespace tamaracktrail {
+
+//! One server-sent event.
+struct SseEvent {
+  std::string id;
+  std::string data;
+
+  friend bool operator==(const SseEvent&, const SseEvent&) = default;
+};
+
+//! Splits a byte stream into server-sent events. Not thread-safe.
+class SseParser {
+ public:
+  //! Events that `bytes` completes.
+  std::vector<SseEvent> Feed(const std::string& bytes);
+
+  //! Bytes of an event that is not complete.
+  size_t pending() const { return buffer_.size(); }
+
+ private:
+  std::string buffer_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // PROTOCOL_SSE_PARSER_H_
--- a/src/state/stream_view.h
+++ b/src/state/stream_view.h
@@ -14,6 +14,7 @@
 
 #include "state/applied_batch.h"
 #include "state/batch_codec.h"
+#include "state/fold_context.h"
 #include "state/log_entry.h"
 #include "state/writer_chains.h"
 
--- /dev/null
+++ b/src/transport/caller_stream.h
@@ -0,0 +1,82 @@
+#ifndef TRANSPORT_CALLER_STREAM_H_
+#define TRANSPORT_CALLER_STREAM_H_
+
+#include <functional>
+#include <string>
+
+#include "protocol/result_code.h"
+#include "protocol/run_state.h"
+#include "state/millis.h"
+
+typedef struct _SoupServerMessage SoupServerMessage;
+typedef struct _GSource GSource;
+
+namespace tamaracktrail {
+
+//! The answer to one caller: a stream of events, a whole body or an error.
+//! Belongs to the task that made it.
+class CallerStream {
+ public:
+  struct Handler {
+    std::function<void()> on_gone;      //!< The caller closed its connection.
+    std::function<void()> on_drained;   //!< All queued bytes are written.
+    //! The exchange is over; `written` tells whether the whole answer was
+    //! handed to the network.
+    std::function<void(bool written)> on_finished;
+  };
+
+  //! Takes a reference of `message` and pauses it.
+  CallerStream(SoupServerMessage* message, Handler handler);
+  ~CallerStream();
+
+  CallerStream(const CallerStream&) = delete;
+  CallerStream& operator=(const CallerStream&) = delete;
+
+  //! Sets a header of the answer. Precondition: nothing was sent yet.
+  void SetHeader(const std::string& name, const std::string& value);
+
+  //! Sends one event of a stream; the first call sends the headers.
+  void SendEvent(Millis now, const std::string& data);
+
+  //! Ends the stream.
+  void EndStream();
+
+  //! Sends a whole answer. Precondition: nothing was sent yet.
+  void SendWhole(int status, const std::string& content_type,
+                 const std::string& body);
+
+  //! Sends an error: as a whole answer, or as an event where the stream has
+  //! started.
+  void SendError(ResultCode code, RunState run_state,
+                 const std::string& detail);
+
+  //! Closes the connection without the rest of the answer.
+  void Abort();
+
+  //! Bytes queued and not written yet.
+  size_t pending() const { return pending_; }
+
+  //! Last time that bytes were written, or queued to an empty queue.
+  Millis progress_at() const { return progress_at_; }
+  bool started() const { return started_; }
+
+ private:
+  void StartStream();
+  void WatchSocket();
+  bool CallerIsGone() const;
+
+  SoupServerMessage* message_;
+  Handler handler_;
+  GSource* watch_ = nullptr;
+  unsigned long signals_[3] = {0, 0, 0};
+  size_t pending_ = 0;
+  Millis progress_at_;
+  bool started_ = false;
+  bool ended_ = false;
+  bool written_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_CALLER_STREAM_H_
--- /dev/null
+++ b/src/transport/coordination_task.cpp
@@ -0,0 +1,314 @@
+#include "transport/coordination_task.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "state/digest.h"
+#include "transport/clock.h"
+#include "transport/metrics.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr Millis kTick{25};
+constexpr Millis kListPeriod{2000};
+constexpr Millis kReadRetry{300};
+constexpr Millis kMetricsPeriod{1000};
+constexpr size_t kReadEntries = 200;
+//! A writer that sleeps for longer loses its hash chain.
+constexpr Millis kLongestPause = kHour * 12;
+
+}  // namespace
+
+CoordinationTask::CoordinationTask(Options options,
+                                   Metrics* metrics,
+                                   OnNotices on_notices)
+    : options_(std::move(options)),
+      metrics_(metrics),
+      on_notices_(std::move(on_notices)),
+      batch_codec_(options_.key),
+      frame_codec_(options_.key),
+      coordinator_(std::make_unique<Coordinator>(options_.self,
+                                                 options_.coordinator,
+                                                 &batch_codec_)) {}
+
+CoordinationTask::~CoordinationTask() = default;
+
+absl::Status CoordinationTask::Start() {
+  task_.Start();
+  absl::Status status;
+  task_.Run([&] {
+    coordinator_->SetSeeds(options_.peers);
+    http_ = std::make_unique<HttpClient>();
+    log_ = std::make_unique<HttpLogService>(http_.get(), options_.log_url);
+    list_ = std::make_unique<HttpInstanceList>(http_.get(), options_.list_url);
+    mesh_ = std::make_unique<PeerMesh>(
+        options_.self, options_.coordinator.data_centre, &frame_codec_,
+        PeerMesh::Handler{
+            [this](uint64_t from, const PeerMessage& message) {
+              const Millis now = MonotonicNow();
+              coordinator_->OnMessage(now, WallNow(), from, message);
+              Flush(now);
+            },
+            [this](uint64_t incarnation, const std::string& why) {
+              const Millis now = MonotonicNow();
+              coordinator_->OnExitEvidence(now, incarnation, why);
+              Flush(now);
+            }});
+    status = mesh_->Listen();
+    if (!status.ok()) {
+      return;
+    }
+    last_tick_ = MonotonicNow();
+    task_.Every(kTick, [this] { Tick(); });
+    task_.Every(kMetricsPeriod, [this] { PublishMetrics(MonotonicNow()); });
+    if (!options_.list_url.empty()) {
+      FetchList();
+      task_.Every(kListPeriod, [this] { FetchList(); });
+    }
+  });
+  if (!status.ok()) {
+    Stop();
+  }
+  return status;
+}
+
+void CoordinationTask::Stop() {
+  task_.Run([this] {
+    mesh_.reset();
+    http_.reset();
+  });
+  task_.Stop();
+}
+
+bool CoordinationTask::DrainAndLeave(Millis deadline) {
+  constexpr auto kPoll = std::chrono::milliseconds(20);
+  task_.Run([this] { coordinator_->Drain(); });
+  bool left = false;
+  bool drained = false;
+  while (MonotonicNow() < deadline) {
+    std::this_thread::sleep_for(kPoll);
+    task_.Run([&] { drained = coordinator_->Drained(); });
+    if (drained && left) {
+      return true;
+    }
+    if (drained) {
+      left = true;
+      task_.Run([this] { coordinator_->Leave(); });
+    }
+  }
+  return false;
+}
+
+void CoordinationTask::Do(std::function<void(Millis)> action) {
+  task_.Post([this, action = std::move(action)] {
+    const Millis now = MonotonicNow();
+    action(now);
+    Flush(now);
+  });
+}
+
+void CoordinationTask::Reserve(const ReserveRequest& request) {
+  Do([=, this](Millis now) { coordinator_->Reserve(now, WallNow(), request); });
+}
+
+void CoordinationTask::EndReservation(const ReservationEnd& end) {
+  Do([=, this](Millis now) { coordinator_->EndReservation(now, end); });
+}
+
+void CoordinationTask::Settle(const SettleRequest& request) {
+  Do([=, this](Millis now) { coordinator_->Settle(now, request); });
+}
+
+void CoordinationTask::Withdraw(const Charge& charge) {
+  Do([=, this](Millis) { coordinator_->Withdraw(charge); });
+}
+
+void CoordinationTask::Note(const std::string& organisation,
+                            const Record& record) {
+  Do([=, this](Millis) { coordinator_->Note(organisation, record); });
+}
+
+void CoordinationTask::CheckContent(uint64_t attempt,
+                                    const std::string& content) {
+  Do([=, this](Millis now) {
+    coordinator_->CheckContent(now, attempt, content);
+  });
+}
+
+void CoordinationTask::ReportCrash(uint64_t attempt, const Crash& crash) {
+  Do([=, this](Millis now) { coordinator_->ReportCrash(now, attempt, crash); });
+}
+
+void CoordinationTask::ReportContentOk(uint64_t attempt,
+                                       const std::string& content) {
+  Do([=, this](Millis) { coordinator_->ReportContentOk(attempt, content); });
+}
+
+void CoordinationTask::ReportEndpoints(
+    std::vector<EndpointNews> news,
+    std::vector<Placer::EndpointState> states,
+    std::map<std::string, int> demand) {
+  Do([=, this](Millis) {
+    coordinator_->ReportEndpoints(news, states, demand);
+  });
+}
+
+void CoordinationTask::GetStatus(
+    std::function<void(const CoordinatorStatus&)> done) {
+  task_.Post([this, done = std::move(done)] {
+    done(coordinator_->Status(MonotonicNow()));
+  });
+}
+
+void CoordinationTask::Tick() {
+  if (mesh_ == nullptr) {
+    return;  // Stopped.
+  }
+  const Millis now = MonotonicNow();
+  CHECK(now - last_tick_ < kLongestPause) << "paused for too long to go on";
+  last_tick_ = now;
+  mesh_->Reap();
+  coordinator_->OnTick(now, WallNow());
+  for (const auto& [address, incarnation] : coordinator_->Silent(now)) {
+    mesh_->Check(now, InstanceId{address, incarnation});
+  }
+  for (const auto& [address, peer] : coordinator_->membership().peers()) {
+    if (peer.incarnation != 0) {
+      mesh_->Check(now, InstanceId{address, peer.incarnation});
+    }
+  }
+  Flush(now);
+  StartReads(now);
+}
+
+const InstanceId* CoordinationTask::Locate(uint64_t incarnation) {
+  const Membership::Peer* peer =
+      coordinator_->membership().ByIncarnation(incarnation);
+  if (peer != nullptr) {
+    located_[incarnation] = InstanceId{peer->address, incarnation};
+  } else if (!located_.contains(incarnation)) {
+    const auto& members = coordinator_->control().members();
+    auto it = members.find(incarnation);
+    if (it != members.end()) {
+      located_[incarnation] = InstanceId{it->second.address, incarnation};
+    }
+  }
+  auto it = located_.find(incarnation);
+  return it == located_.end() ? nullptr : &it->second;
+}
+
+void CoordinationTask::Flush(Millis now) {
+  if (mesh_ == nullptr) {
+    return;  // Stopped.
+  }
+  for (const uint64_t it : coordinator_->TakeExited()) {
+    mesh_->Drop(it);
+    located_.erase(it);
+  }
+  for (const Outbox::Letter& it : coordinator_->TakeLetters()) {
+    const InstanceId* to = Locate(it.to);
+    if (to != nullptr) {
+      mesh_->Send(*to, it.message);
+    }
+  }
+  for (const auto& [address, heartbeat] : coordinator_->TakeHeartbeats(now)) {
+    mesh_->SendDatagram(address, heartbeat);
+  }
+  for (Coordinator::AppendOrder& it :
+       coordinator_->TakeAppends(now, WallNow())) {
+    const std::string stream = it.stream;
+    log_->Append(stream, it.payload, [this, stream](auto offset) {
+      const Millis answered = MonotonicNow();
+      coordinator_->OnAppended(answered, stream, offset.ok());
+      metrics_->Count(offset.ok() ? "tamaracktrail_log_appends_total"
+                                  : "tamaracktrail_log_append_failures_total");
+    });
+  }
+  std::vector<EntryNotice> notices = coordinator_->TakeNotices();
+  if (!notices.empty()) {
+    on_notices_(std::move(notices));
+  }
+}
+
+void CoordinationTask::StartReads(Millis now) {
+  for (const auto& [stream, from] : coordinator_->Reads(now)) {
+    if (!reading_.contains(stream) && now >= read_again_[stream]) {
+      Read(stream, from);
+    }
+  }
+}
+
+void CoordinationTask::Read(const std::string& stream, uint64_t from) {
+  reading_.insert(stream);
+  log_->Read(stream, from, kReadEntries, options_.read_wait,
+             [this, stream](absl::StatusOr<LogPage> page) {
+               const Millis now = MonotonicNow();
+               reading_.erase(stream);
+               if (!page.ok() || mesh_ == nullptr) {
+                 ++read_failures_;
+                 read_again_[stream] = now + kReadRetry;
+                 return;
+               }
+               const bool at_end = page->entries.empty() ||
+                                   page->entries.back().offset + 1 == page->end;
+               coordinator_->OnLogEntries(now, stream, page->entries, at_end);
+               Flush(now);
+               if (coordinator_->Reads(now).contains(stream)) {
+                 Read(stream, coordinator_->Reads(now).at(stream));
+               }
+             });
+}
+
+void CoordinationTask::FetchList() {
+  if (mesh_ == nullptr) {
+    return;  // Stopped.
+  }
+  list_->Fetch([this](auto instances) {
+    if (!instances.ok()) {
+      return;
+    }
+    std::vector<std::string> addresses = options_.peers;
+    for (const ListedInstance& it : *instances) {
+      if (it.data_centre == options_.coordinator.data_centre) {
+        addresses.push_back(it.address);
+      }
+    }
+    coordinator_->SetSeeds(addresses);
+  });
+}
+
+void CoordinationTask::PublishMetrics(Millis now) {
+  if (mesh_ == nullptr) {
+    return;  // Stopped.
+  }
+  const CoordinatorStatus status = coordinator_->Status(now);
+  const auto live = std::count_if(
+      status.peers.begin(), status.peers.end(),
+      [](const auto& it) { return it.state == "live"; });
+  metrics_->Set("tamaracktrail_config_version",
+                static_cast<double>(status.config_version));
+  metrics_->Set("tamaracktrail_live_peers", static_cast<double>(live));
+  metrics_->Set("tamaracktrail_log_backlog_records",
+                static_cast<double>(status.backlog));
+  metrics_->Set("tamaracktrail_log_consecutive_failures",
+                status.append_failures);
+  metrics_->Set("tamaracktrail_log_read_failures_total",
+                static_cast<double>(read_failures_));
+  metrics_->Set("tamaracktrail_stuck_tokens",
+                static_cast<double>(status.stuck_tokens));
+  metrics_->Set("tamaracktrail_charges_in_custody",
+                static_cast<double>(status.charges_in_custody));
+  metrics_->Set("tamaracktrail_open_exit_sweeps",
+                static_cast<double>(status.open_sweeps));
+  const PeerMesh::Counters& counters = mesh_->counters();
+  metrics_->Set("tamaracktrail_bad_frames_total",
+                static_cast<double>(counters.bad_frames));
+  metrics_->Set("tamaracktrail_peer_messages_dropped_total",
+                static_cast<double>(counters.dropped_messages));
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/transport/endpoint_prober.cpp
@@ -0,0 +1,69 @@
+#include "transport/endpoint_prober.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "transport/http_client.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+EndpointObservation Parse(const std::string& endpoint,
+                          Millis sent_at,
+                          const absl::StatusOr<HttpReply>& reply) {
+  EndpointObservation out;
+  out.endpoint = endpoint;
+  out.as_of = sent_at;
+  out.health = EndpointHealth::kDown;
+  if (!reply.ok() || reply->status != 200) {
+    return out;
+  }
+  const nlohmann::json body =
+      nlohmann::json::parse(reply->body, nullptr, false);
+  if (!body.is_object()) {
+    return out;
+  }
+  out.health = body.value("leaving", false) ? EndpointHealth::kLeaving
+                                            : EndpointHealth::kUp;
+  out.load = body.value("load", 0);
+  out.boot_id = body.value("boot_id", "");
+  out.loaded = body.value("loaded", std::vector<std::string>());
+  return out;
+}
+
+}  // namespace
+
+EndpointProber::EndpointProber(HttpClient* client, OnSeen on_seen)
+    : client_(client), on_seen_(std::move(on_seen)) {}
+
+void EndpointProber::Probe(Millis now, const EndpointSpec& endpoint) {
+  auto it = probed_at_.find(endpoint.name);
+  if (it != probed_at_.end() && now < it->second + kPeriod) {
+    return;
+  }
+  ProbeNow(now, endpoint, nullptr);
+}
+
+void EndpointProber::ProbeNow(Millis now,
+                              const EndpointSpec& endpoint,
+                              OnSeen done) {
+  probed_at_[endpoint.name] = now;
+  HttpClient::Request request;
+  request.url = "http://" + endpoint.address + "/health";
+  request.timeout = kTimeout;
+  client_->Send(request, [this, now, name = endpoint.name,
+                          done = std::move(done)](auto reply) {
+    if (absl::IsCancelled(reply.status())) {
+      return;
+    }
+    const EndpointObservation seen = Parse(name, now, reply);
+    on_seen_(seen);
+    if (done) {
+      done(seen);
+    }
+  });
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/transport/entry_limits.h
@@ -0,0 +1,31 @@
+#ifndef TRANSPORT_ENTRY_LIMITS_H_
+#define TRANSPORT_ENTRY_LIMITS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! Limits of an entry towards its callers. Immutable.
+struct EntryLimits {
+  size_t max_body_bytes = 1024 * 1024;
+  size_t max_header_bytes = 32 * 1024;
+  int64_t max_tokens = 16384;
+  size_t max_streams = 512;
+  size_t queue_length = 256;
+  size_t queue_per_organisation = 128;
+  size_t stream_buffer_bytes = 256 * 1024;  //!< Unread bytes of one stream.
+  Millis slow_reader{15000};   //!< Longest time without a byte read.
+  Millis reserve_timeout{4500};
+  Millis idle_timeout{30000};  //!< Longest silence of an endpoint.
+  double retry_ratio = 0.1;
+  double retry_burst = 20;
+
+  friend bool operator==(const EntryLimits&, const EntryLimits&) = default;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_ENTRY_LIMITS_H_
--- /dev/null
+++ b/src/transport/status_json.h
@@ -0,0 +1,15 @@
+#ifndef TRANSPORT_STATUS_JSON_H_
+#define TRANSPORT_STATUS_JSON_H_
+
+#include <string>
+
+namespace tamaracktrail {
+
+struct CoordinatorStatus;
+
+//! The status of an instance as a JSON object. Thread-safe.
+std::string StatusJson(const CoordinatorStatus& status);
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_STATUS_JSON_H_
--- /dev/null
+++ b/src/transport/upstream_call.h
@@ -0,0 +1,59 @@
+#ifndef TRANSPORT_UPSTREAM_CALL_H_
+#define TRANSPORT_UPSTREAM_CALL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "coordination/upstream_event.h"
+#include "state/millis.h"
+
+typedef struct _SoupSession SoupSession;
+
+namespace tamaracktrail {
+
+//! One attempt at an endpoint. Belongs to the task that made it.
+class UpstreamCall {
+ public:
+  struct Request {
+    std::string method = "POST";
+    std::string url;
+    std::string body;
+    std::string content_type = "application/json";
+    std::string request_id;
+    std::string attempt_id;
+    int priority = 5;
+    uint64_t resume_from = 0;
+    bool streamed = true;      //!< The answer is a stream of events.
+    bool may_repeat = true;    //!< A kept-alive connection may be used.
+    Millis connect_timeout{2000};
+  };
+
+  using OnEvent = std::function<void(const UpstreamEvent&)>;
+
+  //! Starts the call. `on_event` is called on this task until the event that
+  //! ends the attempt (any but kChunk), and never after destruction.
+  UpstreamCall(SoupSession* session, const Request& request, OnEvent on_event);
+
+  //! Ends the attempt: the connection is closed, which cancels the call at the
+  //! endpoint.
+  ~UpstreamCall();
+
+  UpstreamCall(const UpstreamCall&) = delete;
+  UpstreamCall& operator=(const UpstreamCall&) = delete;
+
+  //! Stops and resumes reading, for a slow reader on the other side.
+  void SetPaused(bool paused);
+
+  //! Content type of the answer; empty before its headers came.
+  const std::string& content_type() const;
+
+ private:
+  struct State;
+
+  std::shared_ptr<State> state_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_UPSTREAM_CALL_H_
