Add the seeded fleet run over fakes and a settling time at the start

Cause: no randomised run drove the state machines; the demo ran one key twice because two starting instances each took themselves for the keeper.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -46,14 +46,14 @@
 }
 
 uint64_t Coordinator::KeeperOf(Millis now, uint32_t shard) const {
-  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
   const uint64_t keeper =
       RendezvousPick(LedgerShard::StreamName(shard), live);
   return keeper == 0 ? self_.incarnation : keeper;
 }
 
 bool Coordinator::Serving(Millis now, uint32_t shard) const {
-  return !draining_ && KeeperOf(now, shard) == self_.incarnation;
+  return !Idle() && KeeperOf(now, shard) == self_.incarnation;
 }
 
 // Messages.
@@ -366,7 +366,9 @@
       ParseCatalog(version, configuration.files, &faults));
   LOG(INFO) << "event=configuration version=" << version
             << " id=" << configuration.id << " faults=" << faults.size();
-  notices_.push_back(CatalogNotice{catalog_});
+  if (ready_) {
+    notices_.push_back(CatalogNotice{catalog_});
+  }
 }
 
 // Requests of the entry.
@@ -529,7 +531,7 @@
 // Time.
 
 void Coordinator::OnTick(Millis now, Millis wall) {
-  JoinFleet();
+  JoinFleet(now);
   CatchUpConfiguration(now);
   TickContentChecks(now);
   TickCustody(now);
@@ -543,13 +545,22 @@
   Deliver(now, wall);
 }
 
-void Coordinator::JoinFleet() {
-  if (join_sent_) {
+void Coordinator::JoinFleet(Millis now) {
+  if (!started_at_.has_value()) {
+    started_at_ = now;
+    control_writer_.Add(
+        Join{self_.incarnation, self_.address, options_.data_centre});
+  }
+  if (ready_ || !joined() || !control_caught_up_ || catalog_ == nullptr) {
     return;
   }
-  join_sent_ = true;
-  control_writer_.Add(
-      Join{self_.incarnation, self_.address, options_.data_centre});
+  const auto& peers = membership_.peers();
+  const bool all_heard =
+      !peers.empty() && membership_.HeardPeers(now) == peers.size();
+  if (all_heard || now >= *started_at_ + options_.settle) {
+    ready_ = true;
+    notices_.push_back(CatalogNotice{catalog_});
+  }
 }
 
 bool Coordinator::joined() const {
@@ -678,7 +689,7 @@
                   designated == options_.data_centre, outbox);
     Collect(*shard, outbox);
   }
-  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
   const bool designated =
       RendezvousPick(kControlStream, live) == self_.incarnation;
   const uint64_t limit = options_.control_snapshot_records *
@@ -690,7 +701,7 @@
 }
 
 void Coordinator::TickPlacer(Millis now) {
-  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
   const bool chosen = RendezvousPick("placer", live) == self_.incarnation;
   const auto term = control_.fold().TermOf(options_.data_centre);
   const bool held = term.has_value() && term->holder == self_.incarnation;
@@ -720,7 +731,7 @@
   if (catalog_ == nullptr) {
     return;
   }
-  const std::vector<uint64_t> live = membership_.Candidates(now, draining_);
+  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
   std::vector<std::string> duty;
   for (const auto& [name, spec] : catalog_->endpoints) {
     if (spec.data_centre == options_.data_centre &&
@@ -800,7 +811,7 @@
   std::vector<std::pair<std::string, Heartbeat>> out;
   for (const std::string& address : membership_.Due(now)) {
     Heartbeat heartbeat =
-        membership_.MakeHeartbeat(now, address, config_version_, draining_);
+        membership_.MakeHeartbeat(now, address, config_version_, Idle());
     heartbeat.endpoints = own_news_;
     out.emplace_back(address, std::move(heartbeat));
   }
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -37,6 +37,8 @@
     uint32_t shards = 8;
     size_t loads_per_minute = 60;
     uint64_t control_snapshot_records = 2000;
+    Millis settle{1500};        //!< From the start to taking part, unless all
+                                //!< listed peers are heard from before.
     Millis content_wait{3000};  //!< Longest wait for a trial's read-back.
     Millis resweep{60000};      //!< Between sweeps of one exited holder.
     size_t probers = 2;         //!< Instances that probe one endpoint.
@@ -124,6 +126,10 @@
   //! Version of the configuration in force; never decreases.
   uint64_t config_version() const { return config_version_; }
   bool joined() const;
+
+  //! Whether this instance takes part: it has joined, has a configuration and
+  //! had time to hear from its peers. Before that its entry gets no catalog.
+  bool ready() const { return ready_; }
   const Membership& membership() const { return membership_; }
   const ControlFold& control() const { return control_.fold(); }
   const LedgerShard& shard(uint32_t number) const { return *shards_[number]; }
@@ -194,7 +200,8 @@
   void TickProbeDuty(Millis now);
   void StartSweeps(Millis now);
   void AppendCustody(Outbox& outbox);
-  void JoinFleet();
+  void JoinFleet(Millis now);
+  bool Idle() const { return draining_ || !ready_; }
   void MarkExited(Millis now, uint64_t incarnation);
 
   InstanceId self_;
@@ -227,7 +234,8 @@
   std::shared_ptr<const Catalog> catalog_;
   bool draining_ = false;
   bool leaving_ = false;
-  bool join_sent_ = false;
+  std::optional<Millis> started_at_;
+  bool ready_ = false;
   std::vector<Outbox::Letter> local_;  //!< Letters to this instance.
   std::vector<Outbox::Letter> letters_;
   std::vector<EntryNotice> notices_;
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -123,6 +123,12 @@
   return live;
 }
 
+size_t Membership::HeardPeers(Millis now) const {
+  return static_cast<size_t>(
+      std::count_if(peers_.begin(), peers_.end(),
+                    [&](const auto& it) { return Live(now, it.second); }));
+}
+
 std::vector<uint64_t> Membership::Candidates(Millis now, bool draining) const {
   std::vector<uint64_t> out = LivePeers(now);
   if (!draining) {
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -66,6 +66,9 @@
   //! instance.
   std::vector<uint64_t> LivePeers(Millis now) const;
 
+  //! Number of peers heard from lately, draining ones included.
+  size_t HeardPeers(Millis now) const;
+
   //! LivePeers and, unless it drains, this instance: the candidates for roles.
   std::vector<uint64_t> Candidates(Millis now, bool draining) const;
 
--- /dev/null
+++ b/tests/support/fake_fleet.cpp
@@ -0,0 +1,524 @@
+#include "support/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "protocol/result_info.h"
+#include "state/batch.h"
+#include "state/digest.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr Millis kTick{50};
+constexpr Millis kWallStart{1700000000000};
+
+}  // namespace
+
+FakeFleet::FakeFleet(const Options& options)
+    : options_(options), random_(options.seed), codec_("a key for tests") {
+  log_.set_keep(options.keep);
+  for (int centre = 0; centre < options.data_centres; ++centre) {
+    for (int i = 0; i < options.instances; ++i) {
+      Node node;
+      node.address = absl::StrCat("10.0.", centre, ".", i + 1, ":7000");
+      node.data_centre = absl::StrCat("dc", centre);
+      node.centre = centre;
+      nodes_.push_back(std::move(node));
+    }
+  }
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    Start(i);
+  }
+}
+
+FakeFleet::~FakeFleet() = default;
+
+Millis FakeFleet::Wall() const {
+  return kWallStart + events_.now();
+}
+
+int64_t FakeFleet::Random(int64_t low, int64_t high) {
+  return std::uniform_int_distribution<int64_t>(low, high)(random_);
+}
+
+bool FakeFleet::Chance(double part) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < part;
+}
+
+void FakeFleet::Start(size_t i) {
+  Node& node = nodes_[i];
+  ++node.life;
+  node.alive = true;
+  node.paused = false;
+  node.draining = false;
+  node.held.clear();
+  node.flows.clear();
+  node.reading.clear();
+  node.incarnation = random_() | 1;
+  Coordinator::Options options = options_.coordinator;
+  options.data_centre = node.data_centre;
+  options.ledger.keeper.data_centres = options_.data_centres;
+  node.coordinator = std::make_unique<Coordinator>(
+      InstanceId{node.address, node.incarnation}, options, &codec_);
+  node.retries = std::make_unique<RetryBudget>(0.2, 20);
+  std::vector<std::string> seeds;
+  for (const Node& it : nodes_) {
+    if (it.centre == node.centre) {
+      seeds.push_back(it.address);
+    }
+  }
+  node.coordinator->SetSeeds(seeds);
+  Tick(i);
+}
+
+void FakeFleet::On(size_t i, std::function<void(Node&)> event, Millis delay) {
+  const uint64_t life = nodes_[i].life;
+  events_.After(delay, [this, i, life, event = std::move(event)] {
+    Node& node = nodes_[i];
+    if (!node.alive || node.life != life) {
+      return;
+    }
+    if (node.paused) {
+      node.held.push_back([this, i, event] {
+        event(nodes_[i]);
+        Flush(i);
+      });
+      return;
+    }
+    event(node);
+    Flush(i);
+  });
+}
+
+void FakeFleet::Tick(size_t i) {
+  On(
+      i,
+      [this, i](Node& node) {
+        node.coordinator->OnTick(now(), Wall());
+        std::vector<uint64_t> attempts;
+        for (const auto& [attempt, flow] : node.flows) {
+          attempts.push_back(attempt);
+        }
+        for (const uint64_t it : attempts) {
+          if (node.flows.contains(it)) {
+            Perform(i, it, node.flows.at(it)->OnTick(now()));
+          }
+        }
+        CheckExits(i);
+        for (const auto& [stream, from] : node.coordinator->Reads(now())) {
+          ReadFor(i, stream, from);
+        }
+        if (node.draining && node.flows.empty() &&
+            node.coordinator->Drained()) {
+          Kill(i);
+          return;
+        }
+        Tick(i);
+      },
+      kTick);
+}
+
+void FakeFleet::Flush(size_t i) {
+  Node& node = nodes_[i];
+  if (!node.alive) {
+    return;
+  }
+  node.coordinator->TakeExited();
+  for (const Outbox::Letter& it : node.coordinator->TakeLetters()) {
+    Send(i, it);
+  }
+  for (const auto& [address, heartbeat] :
+       node.coordinator->TakeHeartbeats(now())) {
+    for (size_t to = 0; to < nodes_.size(); ++to) {
+      const bool lost = cut_links_.contains({i, to}) || Chance(lose_messages_);
+      if (nodes_[to].address == address && !lost) {
+        On(
+            to,
+            [this, heartbeat = heartbeat](Node& it) {
+              it.coordinator->OnMessage(
+                  now(), Wall(), heartbeat.from.incarnation, heartbeat);
+            },
+            Millis(Random(1, 4)));
+      }
+    }
+  }
+  for (const Coordinator::AppendOrder& it :
+       node.coordinator->TakeAppends(now(), Wall())) {
+    AppendFrom(i, it);
+  }
+  for (const EntryNotice& it : node.coordinator->TakeNotices()) {
+    Notice(i, it);
+  }
+}
+
+void FakeFleet::Send(size_t from, const Outbox::Letter& letter) {
+  for (size_t to = 0; to < nodes_.size(); ++to) {
+    const bool lost =
+        cut_links_.contains({from, to}) || Chance(lose_messages_);
+    if (nodes_[to].incarnation == letter.to && nodes_[to].alive && !lost) {
+      const uint64_t sender = nodes_[from].incarnation;
+      On(
+          to,
+          [this, sender, message = letter.message](Node& it) {
+            it.coordinator->OnMessage(now(), Wall(), sender, message);
+          },
+          Millis(Random(1, 3)));
+    }
+  }
+}
+
+bool FakeFleet::LogReachable(const Node& node) const {
+  return !log_down_ && !cut_centres_.contains(node.centre);
+}
+
+void FakeFleet::AppendFrom(size_t i, const Coordinator::AppendOrder& order) {
+  const int64_t latency = options_.log_latency.count();
+  // The append takes effect on its way even if its sender dies meanwhile.
+  events_.After(Millis(Random(latency / 2, latency)), [this, i, order] {
+    const bool reached = LogReachable(nodes_[i]);
+    if (reached) {
+      log_.Append(order.stream, order.payload);
+    }
+    const bool ok = reached && !Chance(lose_answers_);
+    On(
+        i,
+        [this, order, ok](Node& it) {
+          it.coordinator->OnAppended(now(), order.stream, ok);
+        },
+        Millis(ok ? 2 : 300));
+  });
+}
+
+void FakeFleet::ReadFor(size_t i, const std::string& stream, uint64_t from) {
+  Node& node = nodes_[i];
+  if (!node.reading.insert(stream).second) {
+    return;
+  }
+  const int64_t latency = options_.log_latency.count();
+  On(
+      i,
+      [this, stream, from](Node& it) {
+        it.reading.erase(stream);
+        if (!LogReachable(it)) {
+          return;
+        }
+        constexpr size_t kMost = 200;
+        const std::vector<LogEntry> entries = log_.Read(stream, from, kMost);
+        const bool at_end =
+            entries.empty() || entries.back().offset + 1 == log_.End(stream);
+        it.coordinator->OnLogEntries(now(), stream, entries, at_end);
+      },
+      Millis(Random(latency / 2, latency)));
+}
+
+void FakeFleet::CheckExits(size_t i) {
+  Node& node = nodes_[i];
+  for (const auto& [address, incarnation] : node.coordinator->Silent(now())) {
+    for (const Node& it : nodes_) {
+      // A connection is refused, or answered by another incarnation; a paused
+      // or cut-off process gives no answer.
+      const bool cut = cut_links_.contains(
+          {i, static_cast<size_t>(&it - nodes_.data())});
+      const bool gone = !it.alive || it.incarnation != incarnation;
+      if (it.address == address && gone && !it.paused && !cut) {
+        node.coordinator->OnExitEvidence(now(), incarnation, "refused");
+      }
+    }
+  }
+}
+
+void FakeFleet::Notice(size_t i, const EntryNotice& notice) {
+  Node& node = nodes_[i];
+  const auto with_flow = [&](uint64_t attempt, const auto& act) {
+    auto it = node.flows.find(attempt);
+    if (it != node.flows.end()) {
+      Perform(i, attempt, act(*it->second));
+    }
+  };
+  if (const auto* reply = std::get_if<ReserveReply>(&notice)) {
+    with_flow(reply->attempt, [&](RequestFlow& flow) {
+      return flow.OnReserveReply(now(), *reply);
+    });
+  } else if (const auto* settled = std::get_if<SettledNotice>(&notice)) {
+    with_flow(settled->attempt, [&](RequestFlow& flow) {
+      return flow.OnSettled(now(), settled->safe);
+    });
+  } else if (const auto* verdict = std::get_if<ContentVerdict>(&notice)) {
+    with_flow(verdict->attempt, [&](RequestFlow& flow) {
+      return flow.OnContent(now(), verdict->code);
+    });
+  }
+}
+
+uint64_t FakeFleet::Call(size_t instance,
+                         const std::string& organisation,
+                         const std::string& key,
+                         int64_t worst_case,
+                         bool repeatable) {
+  Node& node = nodes_[instance];
+  if (!node.alive || node.paused || node.draining ||
+      !node.coordinator->ready()) {
+    return 0;
+  }
+  const uint64_t attempt = random_() | 1;
+  FlowSpec spec;
+  spec.organisation = organisation;
+  spec.key = key;
+  spec.service = "service";
+  spec.content = Hex(StableHash(key));
+  spec.entry = node.incarnation;
+  spec.attempt = attempt;
+  spec.config_version = node.coordinator->config_version();
+  spec.worst_case = worst_case;
+  spec.repeatable = repeatable;
+  told_[attempt] = Told{organisation, key, repeatable};
+  told_[attempt].worst_case = worst_case;
+  auto flow = std::make_unique<RequestFlow>(spec, node.retries.get());
+  RequestFlow& it = *flow;
+  node.flows[attempt] = std::move(flow);
+  Perform(instance, attempt, it.Start(now()));
+  Flush(instance);
+  return attempt;
+}
+
+void FakeFleet::Perform(size_t i,
+                        uint64_t attempt,
+                        const RequestFlow::Actions& actions) {
+  for (const FlowAction& it : actions) {
+    Act(i, attempt, it);
+  }
+}
+
+void FakeFleet::Act(size_t i, uint64_t attempt, const FlowAction& action) {
+  Node& node = nodes_[i];
+  Coordinator& coordinator = *node.coordinator;
+  if (const auto* check = std::get_if<CheckContent>(&action)) {
+    coordinator.CheckContent(now(), attempt, check->content);
+  } else if (const auto* reserve = std::get_if<ReserveRequest>(&action)) {
+    coordinator.Reserve(now(), Wall(), *reserve);
+  } else if (const auto* end = std::get_if<ReservationEnd>(&action)) {
+    coordinator.EndReservation(now(), *end);
+  } else if (std::holds_alternative<DispatchCall>(action)) {
+    RequestFlow& flow = *node.flows.at(attempt);
+    Perform(i, attempt, flow.OnDispatched(now(), "endpoint"));
+    RunCall(i, attempt, flow.spec().worst_case);
+  } else if (std::holds_alternative<ConfirmCrash>(action)) {
+    RequestFlow& flow = *node.flows.at(attempt);
+    Perform(i, attempt, flow.OnCrashVerdict(now(), false));
+  } else if (const auto* settle = std::get_if<SettleCharge>(&action)) {
+    told_[attempt].settling = true;
+    coordinator.Settle(now(), settle->request);
+  } else if (const auto* withdraw = std::get_if<WithdrawCharge>(&action)) {
+    coordinator.Withdraw(withdraw->charge);
+  } else if (const auto* note = std::get_if<NoteRecord>(&action)) {
+    coordinator.Note(told_[attempt].organisation, note->record);
+  } else if (const auto* finish = std::get_if<FinishRequest>(&action)) {
+    Told& told = told_[attempt];
+    told.done = true;
+    told.code = finish->code;
+    told.run_state = finish->run_state;
+    const bool budget = finish->code == ResultCode::kBudgetHeldElsewhere ||
+                        finish->code == ResultCode::kBudgetUnavailable ||
+                        finish->code == ResultCode::kBudgetExhausted;
+    told.false_refusal =
+        budget && Unspent(told.organisation) >= told.worst_case;
+    const uint64_t life = node.life;
+    events_.After(Millis(1), [this, i, attempt, life] {
+      if (nodes_[i].life == life) {
+        nodes_[i].flows.erase(attempt);
+      }
+    });
+  }
+}
+
+void FakeFleet::RunCall(size_t i, uint64_t attempt, int64_t worst_case) {
+  UpstreamEvent event;
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random_);
+  if (draw < cut_calls_ / 3) {
+    event.kind = UpstreamEvent::Kind::kRefused;
+  } else if (draw < cut_calls_) {
+    event.kind = UpstreamEvent::Kind::kCut;
+    told_[attempt].runs += Chance(0.5) ? 1 : 0;
+  } else {
+    event.kind = UpstreamEvent::Kind::kEnd;
+    event.status = 200;
+    event.prompt_tokens = Random(0, worst_case / 2);
+    event.completion_tokens = Random(1, worst_case / 2 + 1);
+    told_[attempt].runs += 1;
+  }
+  On(
+      i,
+      [this, i, attempt, event](Node& node) {
+        auto it = node.flows.find(attempt);
+        if (it != node.flows.end()) {
+          Perform(i, attempt, it->second->OnUpstream(now(), event));
+        }
+      },
+      Millis(Random(20, 400)));
+}
+
+// Operators.
+
+void FakeFleet::Operate(const std::string& stream, Record record) {
+  Batch batch{random_() | 1, 1, "", Wall(), {std::move(record)}};
+  log_.Append(stream, codec_.Encode(batch));
+}
+
+void FakeFleet::TopUpBudget(const std::string& organisation, int64_t tokens) {
+  const uint32_t shard =
+      static_cast<uint32_t>(StableHash(organisation) %
+                            options_.coordinator.shards);
+  Operate(LedgerShard::StreamName(shard),
+          TopUp{organisation, Hex(random_()), tokens, "test"});
+}
+
+uint64_t FakeFleet::Publish(uint64_t base, const std::string& id) {
+  Operate("control", Configuration{base, id, "test", {}});
+  return log_.End("control") - 1;
+}
+
+// Faults.
+
+void FakeFleet::Kill(size_t instance) {
+  Node& node = nodes_[instance];
+  node.alive = false;
+  node.paused = false;
+  ++node.life;
+  node.flows.clear();
+}
+
+void FakeFleet::Restart(size_t instance) {
+  if (!nodes_[instance].alive) {
+    Start(instance);
+  }
+}
+
+void FakeFleet::Pause(size_t instance) {
+  nodes_[instance].paused = nodes_[instance].alive;
+}
+
+void FakeFleet::Wake(size_t instance) {
+  Node& node = nodes_[instance];
+  if (!node.paused) {
+    return;
+  }
+  node.paused = false;
+  for (const auto& it : std::exchange(node.held, {})) {
+    if (node.alive) {
+      it();
+    }
+  }
+}
+
+void FakeFleet::Drain(size_t instance) {
+  Node& node = nodes_[instance];
+  if (node.alive && !node.paused) {
+    node.draining = true;
+    node.coordinator->Drain();
+  }
+}
+
+void FakeFleet::CutFromLog(int data_centre, bool cut) {
+  if (cut) {
+    cut_centres_.insert(data_centre);
+  } else {
+    cut_centres_.erase(data_centre);
+  }
+}
+
+void FakeFleet::CutLink(size_t from, size_t to, bool cut) {
+  if (cut) {
+    cut_links_.insert({from, to});
+  } else {
+    cut_links_.erase({from, to});
+  }
+}
+
+void FakeFleet::Heal() {
+  log_down_ = false;
+  cut_centres_.clear();
+  cut_links_.clear();
+  lose_answers_ = 0;
+  lose_messages_ = 0;
+  cut_calls_ = 0;
+  for (size_t i = 0; i < nodes_.size(); ++i) {
+    Wake(i);
+    Restart(i);
+  }
+}
+
+bool FakeFleet::ready(size_t instance) const {
+  const Node& node = nodes_[instance];
+  return node.alive && !node.paused && node.coordinator->ready();
+}
+
+// Judgement.
+
+LedgerFold FakeFleet::Observe(const std::string& organisation) const {
+  const uint32_t shard =
+      static_cast<uint32_t>(StableHash(organisation) %
+                            options_.coordinator.shards);
+  StreamView<LedgerFold> view(
+      &codec_, LedgerFold(options_.coordinator.ledger.key_window));
+  auto it = log_.streams().find(LedgerShard::StreamName(shard));
+  if (it != log_.streams().end()) {
+    for (const LogEntry& entry : it->second) {
+      view.Feed(entry);
+    }
+  }
+  return view.fold();
+}
+
+int64_t FakeFleet::Unspent(const std::string& organisation) const {
+  const Budget budget = Observe(organisation).BudgetOf(organisation);
+  return budget.prepaid - budget.charged;
+}
+
+std::string FakeFleet::Check() const {
+  std::map<std::pair<std::string, std::string>, std::vector<const Told*>> keys;
+  for (const auto& [attempt, told] : told_) {
+    keys[{told.organisation, told.key}].push_back(&told);
+    const bool claims_not_run =
+        told.done && told.run_state == RunState::kNotRun;
+    if (claims_not_run && told.runs > 0) {
+      return absl::StrCat("key ", told.key, " ran but was told not_run");
+    }
+  }
+  std::map<std::string, LedgerFold> folds;
+  for (const auto& [name, tries] : keys) {
+    const auto& [organisation, key] = name;
+    if (!folds.contains(organisation)) {
+      folds.emplace(organisation, Observe(organisation));
+    }
+    int runs = 0;
+    bool delivered = false;
+    bool settling = false;
+    for (const Told* it : tries) {
+      runs += it->runs;
+      delivered |= it->done && it->code == ResultCode::kOk;
+      // Its entry died after it handed the charge over.
+      settling |= it->settling && !it->done;
+    }
+    if (!tries.front()->repeatable && runs > 1) {
+      return absl::StrCat("non-repeatable key ", key, " ran ", runs, " times");
+    }
+    const bool charged =
+        folds.at(organisation).KeyOf(organisation, key).phase ==
+        KeyState::Phase::kCharged;
+    if (delivered && !charged) {
+      return absl::StrCat("key ", key, " was delivered but not charged");
+    }
+    if (charged && !delivered && !settling) {
+      return absl::StrCat("key ", key, " was charged but not delivered");
+    }
+    if (charged && runs == 0) {
+      return absl::StrCat("key ", key, " was charged but did not run");
+    }
+  }
+  return "";
+}
+
+}  // namespace tamaracktrail
