--- a/src/coordination/charge_custody.cpp
+++ b/src/coordination/charge_custody.cpp
@@ -39,18 +39,31 @@
 void ChargeCustody::Hold(Millis now,
                          const SettleRequest& request,
                          Outbox& outbox) {
-  CHECK_NE(request.charge.holder, self_);
   held_.try_emplace(request.charge.attempt,
                     Held{request, now, now, false, true, false, {}});
-  outbox.Send(request.charge.entry, SettleReply{request.charge.attempt});
+  if (request.charge.holder != self_) {
+    outbox.Send(request.charge.entry, SettleReply{request.charge.attempt});
+  }
 }
 
-void ChargeCustody::Withdraw(const Charge& charge, Outbox& outbox) {
+void ChargeCustody::Withdraw(const Charge& charge,
+                             std::span<const uint64_t> peers,
+                             Outbox& outbox) {
   CHECK_EQ(charge.entry, self_);
-  outbox.Append(Void{charge.organisation, charge.key, charge.attempt});
+  AppendVoid(charge, peers, outbox);
   held_.erase(charge.attempt);
 }
 
+void ChargeCustody::AppendVoid(const Charge& charge,
+                               std::span<const uint64_t> peers,
+                               Outbox& outbox) {
+  const Void record{charge.organisation, charge.key, charge.attempt};
+  outbox.Append(record);
+  for (const uint64_t peer : peers) {
+    outbox.Send(peer, RecordsNote{charge.organisation, {record}});
+  }
+}
+
 void ChargeCustody::OnHeldElsewhere(uint64_t attempt) {
   auto it = held_.find(attempt);
   if (it != held_.end()) {
@@ -88,7 +101,7 @@
     const Charge& charge = held.request.charge;
     if (held.own && !held.safe &&
         now >= held.since + options_.give_up_after) {
-      outbox.Append(Void{charge.organisation, charge.key, charge.attempt});
+      AppendVoid(charge, peers, outbox);
       settled_.push_back({it->first, Safety::kNotSafe});
       it = held_.erase(it);
       continue;
@@ -101,13 +114,36 @@
       }
       Append(held, holder_gone(charge.holder), outbox);
     }
-    if (now >= held.since + options_.append_after) {
+    if (now >= held.since + options_.replicate_after) {
+      Replicate(held, peers, outbox);
+    }
+    const bool heard =
+        Contains(peers, charge.holder) || Contains(peers, charge.entry);
+    const Millis patience =
+        heard ? options_.append_anyway_after : options_.append_after;
+    if (now >= held.since + patience) {
       Append(held, holder_gone(charge.holder), outbox);
     }
     ++it;
   }
 }
 
+void ChargeCustody::Replicate(Held& held,
+                              std::span<const uint64_t> peers,
+                              Outbox& outbox) {
+  for (const uint64_t peer : peers) {
+    const auto live = std::count_if(
+        held.asked.begin(), held.asked.end(),
+        [&](uint64_t it) { return Contains(peers, it); });
+    if (static_cast<size_t>(live) >= options_.copies) {
+      return;
+    }
+    if (held.asked.insert(peer).second) {
+      outbox.Send(peer, held.request);
+    }
+  }
+}
+
 void ChargeCustody::Append(Held& held, bool holder_gone, Outbox& outbox) {
   const Charge& charge = held.request.charge;
   // A charge under this instance's own share is appended by its keeper.
--- a/src/coordination/charge_custody.h
+++ b/src/coordination/charge_custody.h
@@ -23,7 +23,11 @@
   struct Options {
     Millis widen_after{400};    //!< Then other peers and the log are asked.
     Millis give_up_after{4000}; //!< Then the answer is withheld.
-    Millis append_after{5000};  //!< Unconfirmed charges are appended here too.
+    Millis replicate_after{1000}; //!< Unconfirmed charges go to more peers.
+    size_t copies = 4;            //!< Peers that one charge is handed to.
+    Millis append_after{5000};  //!< Unconfirmed charges are appended here too,
+                                //!< where neither entry nor holder is heard.
+    Millis append_anyway_after{60000};  //!< And where they are.
   };
 
   enum class Safety { kSafe, kNotSafe };
@@ -42,13 +46,15 @@
   void Settle(Millis now, const SettleRequest& request,
               std::span<const uint64_t> peers, Outbox& outbox);
 
-  //! Takes a peer's charge into custody and answers with SettleReply.
-  //! Precondition: this instance is not the charge's holder.
+  //! Takes a peer's charge into custody and answers with SettleReply, unless
+  //! this instance is the holder: then its keeper answers and appends.
   void Hold(Millis now, const SettleRequest& request, Outbox& outbox);
 
   //! The answer was not delivered whole after all: voids the charge wherever
-  //! it is. Precondition: charge.entry is this instance.
-  void Withdraw(const Charge& charge, Outbox& outbox);
+  //! it is. The peers append the void too, so that it outlives this process.
+  //! Precondition: charge.entry is this instance.
+  void Withdraw(const Charge& charge, std::span<const uint64_t> peers,
+                Outbox& outbox);
 
   //! Another instance holds the charge.
   void OnHeldElsewhere(uint64_t attempt);
@@ -87,7 +93,10 @@
     std::set<uint64_t> asked;  //!< Peers that may hold it for this instance.
   };
 
+  static void AppendVoid(const Charge& charge, std::span<const uint64_t> peers,
+                         Outbox& outbox);
   void MarkSafe(uint64_t attempt, Held& held);
+  void Replicate(Held& held, std::span<const uint64_t> peers, Outbox& outbox);
   void Append(Held& held, bool holder_gone, Outbox& outbox);
 
   uint64_t self_;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -150,7 +150,10 @@
   LedgerShard& shard = *shards_[ShardOf(it.charge.organisation)];
   if (it.charge.holder == self_.incarnation) {
     shard.OnSettle(now, it, outbox);
-  } else {
+  }
+  // A repeat of a charge that the log has needs no custody.
+  if (it.charge.holder != self_.incarnation ||
+      shard.keeper().HoldsCharge(it.charge.attempt)) {
     custody_.Hold(now, it, outbox);
   }
   Collect(shard, outbox);
@@ -180,11 +183,8 @@
 }
 
 void Coordinator::Handle(Millis, Millis, uint64_t, const RecordsNote& it) {
-  if (it.shard >= shards_.size()) {
-    return;
-  }
   for (const Record& record : it.records) {
-    shards_[it.shard]->writer().Add(record);
+    Note(it.organisation, record);
   }
 }
 
@@ -329,7 +329,12 @@
     if (const auto* exit = std::get_if<Exit>(&record)) {
       CHECK(exit->incarnation != self_.incarnation || leaving_)
           << "this instance was recorded as exited while it runs";
-      OnExitEvidence(now, exit->incarnation, exit->evidence);
+      const auto member = control_.fold().members().find(exit->incarnation);
+      // Only its own data centre can account for what it granted.
+      if (member != control_.fold().members().end() &&
+          member->second.data_centre == options_.data_centre) {
+        OnExitEvidence(now, exit->incarnation, exit->evidence);
+      }
     }
     if (std::holds_alternative<ControlSnapshot>(record)) {
       control_since_snapshot_ = 0;
@@ -426,9 +431,9 @@
   Deliver(now, Millis());
 }
 
-void Coordinator::Withdraw(const Charge& charge) {
+void Coordinator::Withdraw(Millis now, const Charge& charge) {
   Outbox outbox;
-  custody_.Withdraw(charge, outbox);
+  custody_.Withdraw(charge, membership_.LivePeers(now), outbox);
   AppendCustody(outbox);
 }
 
@@ -627,7 +632,11 @@
       shard->OnEntryExit(now, it.exited, outbox);
       Collect(*shard, outbox);
       if (Serving(now, shard->number()) && shard->caught_up()) {
-        shard->OnSweep(it.exited, all);
+        std::vector<KeptShare> own_kept = all;
+        std::erase_if(own_kept, [&](const KeptShare& share) {
+          return ShardOf(share.organisation) != shard->number();
+        });
+        shard->OnSweep(it.exited, std::move(own_kept));
       }
     }
     const auto member = control_.fold().members().find(it.exited);
@@ -761,6 +770,13 @@
   draining_ = true;
 }
 
+bool Coordinator::HoldsCharge(uint64_t attempt) const {
+  return custody_.Holds(attempt) ||
+         std::any_of(shards_.begin(), shards_.end(), [&](const auto& it) {
+           return it->keeper().HoldsCharge(attempt);
+         });
+}
+
 bool Coordinator::Drained() const {
   if (custody_.size() > 0 || control_writer_.backlog() > 0) {
     return false;
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -80,7 +80,7 @@
   void Reserve(Millis now, Millis wall, const ReserveRequest& request);
   void EndReservation(Millis now, const ReservationEnd& end);
   void Settle(Millis now, const SettleRequest& request);
-  void Withdraw(const Charge& charge);
+  void Withdraw(Millis now, const Charge& charge);
   void Note(const std::string& organisation, Record record);
   void CheckContent(Millis now, uint64_t attempt, const std::string& content);
   void ReportCrash(Millis now, uint64_t attempt, const Crash& crash);
@@ -102,6 +102,9 @@
   //! Nothing is left to settle, return or append.
   bool Drained() const;
 
+  //! Whether this instance answers for the charge of an attempt.
+  bool HoldsCharge(uint64_t attempt) const;
+
   //! Appends the graceful exit; call once when Drained(), then wait for
   //! Drained() again.
   void Leave();
--- a/src/coordination/keeper.cpp
+++ b/src/coordination/keeper.cpp
@@ -223,6 +223,9 @@
     pending_charges_.erase(it);
   }
   outbox.Send(record.entry, ChargeConfirmed{record.attempt});
+  if (record.entry != self_) {
+    outbox.Send(self_, ChargeConfirmed{record.attempt});
+  }
 }
 
 template <SharePolicy Policy>
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -76,6 +76,9 @@
   int64_t reserved() const;
   size_t reservation_count() const { return reservations_.size(); }
   size_t pending_charge_count() const { return pending_charges_.size(); }
+  bool HoldsCharge(uint64_t attempt) const {
+    return pending_charges_.contains(attempt);
+  }
   size_t queue_length() const;
 
  private:
--- a/src/coordination/ledger_shard.cpp
+++ b/src/coordination/ledger_shard.cpp
@@ -85,14 +85,9 @@
   keeper_.OnEntryExit(now, entry, outbox);
 }
 
-void LedgerShard::OnSweep(uint64_t exited, const std::vector<KeptShare>& kept) {
-  Release release{exited, "all instances of the data centre reported", {}};
-  for (const KeptShare& it : kept) {
-    if (view_.fold().BudgetOf(it.organisation).Share(exited) > 0) {
-      release.kept.push_back(it);
-    }
-  }
-  writer_.Add(std::move(release));
+void LedgerShard::OnSweep(uint64_t exited, std::vector<KeptShare> kept) {
+  writer_.Add(Release{exited, "all instances of the data centre reported",
+                      std::move(kept)});
 }
 
 void LedgerShard::OnTick(Millis now,
--- a/src/coordination/ledger_shard.h
+++ b/src/coordination/ledger_shard.h
@@ -51,8 +51,9 @@
   void OnReservationEnd(Millis now, const ReservationEnd& end, Outbox& outbox);
   void OnEntryExit(Millis now, uint64_t entry, Outbox& outbox);
 
-  //! An exit sweep is complete: frees what the exited holder had.
-  void OnSweep(uint64_t exited, const std::vector<KeptShare>& kept);
+  //! An exit sweep is complete: frees what the exited holder had, but for
+  //! `kept`, which are this shard's attempts only.
+  void OnSweep(uint64_t exited, std::vector<KeptShare> kept);
 
   //! `serving`: this instance is the shard's keeper in its data centre.
   //! `designated`: it is the one to write snapshots; others stand in once one
--- a/src/protocol/records_note.h
+++ b/src/protocol/records_note.h
@@ -1,25 +1,26 @@
 #ifndef PROTOCOL_RECORDS_NOTE_H_
 #define PROTOCOL_RECORDS_NOTE_H_
 
-#include <cstdint>
+#include <string>
 #include <vector>
 
+#include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
 #include "state/record.h"
 
 namespace tamaracktrail {
 
-//! Records for the receiver to append to a ledger shard.
+//! Records for the receiver to append to an organisation's ledger shard.
 struct RecordsNote {
-  uint32_t shard = 0;
+  std::string organisation;
   std::vector<Record> records;
 
   friend bool operator==(const RecordsNote&, const RecordsNote&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(shard, records);
+    archive(organisation, records);
   }
 };
 
--- a/src/protocol/result_info.cpp
+++ b/src/protocol/result_info.cpp
@@ -63,8 +63,8 @@
     {R::kOutcomeUnknown, "outcome_unknown", 409, kUnknown, 0,
      "The non-repeatable request may have run; it is not run again."},
     {R::kChargeNotSafe, "charge_not_safe", 503, kRan, 2,
-     "Neither a peer nor the log took the charge; the answer is withheld and "
-     "not billed."},
+     "Neither a peer nor the log took the charge in time; the answer is "
+     "withheld, and its charge is voided as soon as either can be reached."},
     {R::kNoEndpoint, "no_endpoint", 503, kNot, 2,
      "No healthy endpoint serves this."},
     {R::kEndpointRefused, "endpoint_refused", 503, kNot, 1,
--- a/src/transport/coordination_task.cpp
+++ b/src/transport/coordination_task.cpp
@@ -124,7 +124,7 @@
 }
 
 void CoordinationTask::Withdraw(const Charge& charge) {
-  Do([=, this](Millis) { coordinator_->Withdraw(charge); });
+  Do([=, this](Millis now) { coordinator_->Withdraw(now, charge); });
 }
 
 void CoordinationTask::Note(const std::string& organisation,
