--- a/src/cli/audit.cpp
+++ b/src/cli/audit.cpp
@@ -43,8 +43,7 @@
         parsed.is_object() && parsed.contains("offset") &&
         parsed["offset"].is_number_unsigned() && parsed.contains("data") &&
         parsed["data"].is_string() &&
-        absl::Base64Unescape(parsed["data"].get<std::string>(),
-                             &entry.payload);
+        absl::Base64Unescape(parsed["data"].get<std::string>(), &entry.payload);
     if (!ok) {
       return absl::DataLossError(absl::StrCat(
           path.filename().string(), ":", number, ": not an exported entry"));
@@ -90,7 +89,8 @@
   StreamAudit(std::string name, const BatchCodec& codec, Fold fold)
       : name_(std::move(name)), view_(&codec, std::move(fold)) {}
 
-  absl::Status Run(const fs::path& path, const OnBatch& on_batch,
+  absl::Status Run(const fs::path& path,
+                   const OnBatch& on_batch,
                    AuditReport& report) {
     ++report.streams;
     absl::Status status = ForEachEntry(path, [&](const LogEntry& entry) {
@@ -136,14 +136,15 @@
         ++report.void_charges;
       }
       if (batch.verdicts[i] == FoldVerdict::kExceedsShare) {
-        report.faults.push_back(
-            absl::StrCat(name_, ": offset ", batch.offset, ": charge of key ",
-                         charge->key, " exceeds its holder's share"));
+        report.faults.push_back(absl::StrCat(name_, ": offset ", batch.offset,
+                                             ": charge of key ", charge->key,
+                                             " exceeds its holder's share"));
       }
     }
   }
 
-  void Fault(const LogEntry& entry, const std::string& what,
+  void Fault(const LogEntry& entry,
+             const std::string& what,
              AuditReport& report) {
     report.faults.push_back(
         absl::StrCat(name_, ": offset ", entry.offset, " ", what));
@@ -254,18 +255,18 @@
           }
           found.emplace_back(
               it.batch.wall,
-              absl::StrCat(TimeText(it.batch.wall), " ", stream, "@",
-                           it.offset, " writer=", Hex(it.batch.writer), " ",
-                           RecordText(it.batch.records[i]), " verdict=",
-                           FoldVerdictName(it.verdicts[i])));
+              absl::StrCat(TimeText(it.batch.wall), " ", stream, "@", it.offset,
+                           " writer=", Hex(it.batch.writer), " ",
+                           RecordText(it.batch.records[i]),
+                           " verdict=", FoldVerdictName(it.verdicts[i])));
         }
       });
   if (!report.ok()) {
     return report.status();
   }
-  std::stable_sort(found.begin(), found.end(), [](const auto& a, const auto& b) {
-    return a.first < b.first;
-  });
+  std::stable_sort(
+      found.begin(), found.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
   std::vector<std::string> lines;
   for (auto& [wall, line] : found) {
     lines.push_back(std::move(line));
--- a/src/cli/audit.h
+++ b/src/cli/audit.h
@@ -27,7 +27,8 @@
 
 //! Copies each stream of the log to FOLDER/STREAM.jsonl, going on where an
 //! earlier export ended. Returns the number of new entries.
-absl::StatusOr<uint64_t> ExportLog(LogSession& session, uint32_t shards,
+absl::StatusOr<uint64_t> ExportLog(LogSession& session,
+                                   uint32_t shards,
                                    const std::string& folder);
 
 //! Checks an export from the records alone: tags, hash chains, gaps, and every
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -50,8 +50,7 @@
 }
 
 LogSession MakeSession(const Settings& settings) {
-  return LogSession(settings.Text("platform", "log_url"),
-                    settings.fleet_key());
+  return LogSession(settings.Text("platform", "log_url"), settings.fleet_key());
 }
 
 Millis Deadline() {
@@ -118,9 +117,8 @@
     return ExitCode::kBadInput;
   }
   std::vector<SettingFault> faults;
-  const Configuration next =
-      CollectDeclarations(folders, absl::GetFlag(FLAGS_base),
-                          absl::GetFlag(FLAGS_id), &faults);
+  const Configuration next = CollectDeclarations(
+      folders, absl::GetFlag(FLAGS_base), absl::GetFlag(FLAGS_id), &faults);
   PrintFaults(faults);
   if (!faults.empty()) {
     return ExitCode::kBadInput;
@@ -172,21 +170,19 @@
   if (!settings.has_value()) {
     return ExitCode::kBadInput;
   }
-  const auto shards = static_cast<uint64_t>(
-      settings->Number("fleet", "ledger_shards"));
+  const auto shards =
+      static_cast<uint64_t>(settings->Number("fleet", "ledger_shards"));
   const std::string stream = LedgerShard::StreamName(
       static_cast<uint32_t>(StableHash(arguments[0]) % shards));
   LogSession session = MakeSession(*settings);
-  StreamView<LedgerFold> view(
-      session.codec(),
-      LedgerFold(settings->Duration("fleet", "key_window_ms")));
+  StreamView<LedgerFold> view(session.codec(), LedgerFold(settings->Duration(
+                                                   "fleet", "key_window_ms")));
   if (absl::Status status = session.CatchUp(stream, view); !status.ok()) {
     return Fail(status);
   }
   const auto appended = session.AppendAndReadBack(
       stream, view,
-      TopUp{arguments[0], id, tokens, absl::GetFlag(FLAGS_author)},
-      Deadline());
+      TopUp{arguments[0], id, tokens, absl::GetFlag(FLAGS_author)}, Deadline());
   if (!appended.ok()) {
     return Fail(appended.status());
   }
@@ -263,7 +259,8 @@
   return report->faults.empty() ? ExitCode::kOk : ExitCode::kTampered;
 }
 
-ExitCode RunExplain(const Settings& settings, const std::string& folder,
+ExitCode RunExplain(const Settings& settings,
+                    const std::string& folder,
                     const std::string& key) {
   const BatchCodec codec(settings.fleet_key());
   const auto lines = ExplainKey(
@@ -313,8 +310,7 @@
   LogSession session = MakeSession(*settings);
   const std::string evidence = "released by operator " + author;
   StreamView<ControlFold> control(session.codec(), ControlFold());
-  if (absl::Status status = session.CatchUp("control", control);
-      !status.ok()) {
+  if (absl::Status status = session.CatchUp("control", control); !status.ok()) {
     return Fail(status);
   }
   const auto exit = session.AppendAndReadBack(
@@ -371,8 +367,7 @@
      RunTopUp},
     {"status", "status --at IP:PORT [--json]",
      "Shows what an instance knows of itself and its peers.", 0, 0, RunStatus},
-    {"audit",
-     "audit export|verify|explain KEY --settings FILE --folder FOLDER",
+    {"audit", "audit export|verify|explain KEY --settings FILE --folder FOLDER",
      "Exports the log, checks an export from its records alone, or shows all "
      "records about a request key.",
      1, 2, RunAudit},
--- a/src/cli/log_session.h
+++ b/src/cli/log_session.h
@@ -39,7 +39,8 @@
   const BatchCodec* codec() const { return &codec_; }
 
   //! One page of a stream; `wait` as in LogService.
-  absl::StatusOr<LogPage> Read(const std::string& stream, uint64_t from,
+  absl::StatusOr<LogPage> Read(const std::string& stream,
+                               uint64_t from,
                                Millis wait);
 
   absl::StatusOr<uint64_t> Append(const std::string& stream,
--- a/src/cli/record_text.cpp
+++ b/src/cli/record_text.cpp
@@ -37,13 +37,13 @@
                       " holder=", Hex(it.holder), " tokens=", it.tokens);
 }
 std::string Text(const Charge& it) {
-  return absl::StrCat(
-      "charge organisation=", it.organisation, " key=", it.key,
-      " tokens=", it.tokens, " prompt=", it.prompt_tokens,
-      " completion=", it.completion_tokens, " service=", it.service,
-      " endpoint=", it.endpoint, " attempt=", Hex(it.attempt),
-      " entry=", Hex(it.entry), " holder=", Hex(it.holder),
-      " config=", it.config_version);
+  return absl::StrCat("charge organisation=", it.organisation, " key=", it.key,
+                      " tokens=", it.tokens, " prompt=", it.prompt_tokens,
+                      " completion=", it.completion_tokens,
+                      " service=", it.service, " endpoint=", it.endpoint,
+                      " attempt=", Hex(it.attempt), " entry=", Hex(it.entry),
+                      " holder=", Hex(it.holder),
+                      " config=", it.config_version);
 }
 std::string Text(const Claim& it) {
   return absl::StrCat("claim organisation=", it.organisation, " key=", it.key,
@@ -51,27 +51,24 @@
                       " entry=", Hex(it.entry));
 }
 std::string Text(const Abandon& it) {
-  return absl::StrCat("abandon organisation=", it.organisation,
-                      " key=", it.key, " attempt=", Hex(it.attempt));
+  return absl::StrCat("abandon organisation=", it.organisation, " key=", it.key,
+                      " attempt=", Hex(it.attempt));
 }
 std::string Text(const Outcome& it) {
-  return absl::StrCat("outcome organisation=", it.organisation,
-                      " key=", it.key, " attempt=", Hex(it.attempt),
-                      " endpoint=", it.endpoint, " status=", it.http_status,
-                      " code=", CodeText(it.code));
+  return absl::StrCat("outcome organisation=", it.organisation, " key=", it.key,
+                      " attempt=", Hex(it.attempt), " endpoint=", it.endpoint,
+                      " status=", it.http_status, " code=", CodeText(it.code));
 }
 std::string Text(const Run& it) {
   return absl::StrCat("run organisation=", it.organisation, " key=", it.key,
                       " service=", it.service, " endpoint=", it.endpoint,
-                      " code=", CodeText(it.code),
-                      " attempt=", Hex(it.attempt), " entry=", Hex(it.entry),
-                      " config=", it.config_version);
+                      " code=", CodeText(it.code), " attempt=", Hex(it.attempt),
+                      " entry=", Hex(it.entry), " config=", it.config_version);
 }
 std::string Text(const Refusal& it) {
-  return absl::StrCat("refusal organisation=", it.organisation,
-                      " key=", it.key, " service=", it.service,
-                      " code=", CodeText(it.code), " reason=\"", it.reason,
-                      "\" entry=", Hex(it.entry),
+  return absl::StrCat("refusal organisation=", it.organisation, " key=", it.key,
+                      " service=", it.service, " code=", CodeText(it.code),
+                      " reason=\"", it.reason, "\" entry=", Hex(it.entry),
                       " config=", it.config_version);
 }
 std::string Text(const Release& it) {
@@ -92,12 +89,11 @@
 }
 std::string Text(const Join& it) {
   return absl::StrCat("join incarnation=", Hex(it.incarnation),
-                      " address=", it.address,
-                      " data_centre=", it.data_centre);
+                      " address=", it.address, " data_centre=", it.data_centre);
 }
 std::string Text(const Exit& it) {
-  return absl::StrCat("exit incarnation=", Hex(it.incarnation),
-                      " evidence=\"", it.evidence, "\"");
+  return absl::StrCat("exit incarnation=", Hex(it.incarnation), " evidence=\"",
+                      it.evidence, "\"");
 }
 std::string Text(const Crash& it) {
   return absl::StrCat("crash content=", it.content, " endpoint=", it.endpoint,
@@ -121,6 +117,10 @@
   return absl::StrCat("void organisation=", it.organisation, " key=", it.key,
                       " attempt=", Hex(it.attempt));
 }
+std::string Text(const Fence& it) {
+  return absl::StrCat("fence holder=", Hex(it.holder),
+                      " entry=", Hex(it.entry));
+}
 std::string Text(const Acquit& it) {
   return absl::StrCat("acquit content=", it.content,
                       " attempt=", Hex(it.attempt));
--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -63,15 +63,13 @@
     const std::string name = NameOf(def.section, def.key);
     switch (def.kind) {
       case SettingDef::Kind::kInteger:
-        out.numbers_[name] = static_cast<double>(
-            reader.Integer(def.section, def.key,
-                           static_cast<int64_t>(def.fallback),
-                           static_cast<int64_t>(def.min),
-                           static_cast<int64_t>(def.max)));
+        out.numbers_[name] = static_cast<double>(reader.Integer(
+            def.section, def.key, static_cast<int64_t>(def.fallback),
+            static_cast<int64_t>(def.min), static_cast<int64_t>(def.max)));
         continue;
       case SettingDef::Kind::kNumber:
-        out.numbers_[name] = reader.Number(def.section, def.key, def.fallback,
-                                           def.min, def.max);
+        out.numbers_[name] =
+            reader.Number(def.section, def.key, def.fallback, def.min, def.max);
         continue;
       case SettingDef::Kind::kList:
         out.lists_[name] = reader.List(def.section, def.key);
--- a/src/cli/settings.h
+++ b/src/cli/settings.h
@@ -21,7 +21,8 @@
                        std::vector<SettingFault>* faults);
 
   //! Checks the text of a settings file. `path` is for faults only.
-  static Settings Parse(const std::string& path, const std::string& text,
+  static Settings Parse(const std::string& path,
+                        const std::string& text,
                         std::vector<SettingFault>* faults);
 
   std::string Text(const std::string& section, const std::string& key) const;
--- a/src/coordination/admission_queue.h
+++ b/src/coordination/admission_queue.h
@@ -20,9 +20,9 @@
 class AdmissionQueue {
  public:
   struct Options {
-    size_t max_length = 256;         //!< All services together.
+    size_t max_length = 256;  //!< All services together.
     size_t max_per_organisation = 128;
-    Millis aging{2000};              //!< Wait that is worth one priority.
+    Millis aging{2000};  //!< Wait that is worth one priority.
   };
 
   struct Item {
--- a/src/coordination/catalog.cpp
+++ b/src/coordination/catalog.cpp
@@ -70,13 +70,15 @@
     std::string organisation;
   };
 
-  void ReadSection(IniReader& reader, const std::string& section,
-                   const std::string& kind, const std::string& name) {
+  void ReadSection(IniReader& reader,
+                   const std::string& section,
+                   const std::string& kind,
+                   const std::string& name) {
     const auto previous = owners_.find(section);
     if (previous != owners_.end()) {
-      reader.AddFault(section, "", section,
-                      absl::StrCat("one declaration; ", previous->second,
-                                   " has another"));
+      reader.AddFault(
+          section, "", section,
+          absl::StrCat("one declaration; ", previous->second, " has another"));
     }
     owners_.try_emplace(section, file_);
     if (kind == "organisation") {
@@ -95,7 +97,8 @@
     }
   }
 
-  void ReadOrganisation(IniReader& reader, const std::string& section,
+  void ReadOrganisation(IniReader& reader,
+                        const std::string& section,
                         const std::string& name) {
     OrganisationSpec spec;
     spec.name = name;
@@ -120,14 +123,16 @@
     catalog_.organisations[name] = spec;
   }
 
-  void ReadBudget(IniReader& reader, const std::string& section,
+  void ReadBudget(IniReader& reader,
+                  const std::string& section,
                   const std::string& name) {
     const std::string organisation =
         reader.String(section, "organisation", true).value_or("");
     budgets_[name] = {name, organisation};
   }
 
-  void ReadService(IniReader& reader, const std::string& section,
+  void ReadService(IniReader& reader,
+                   const std::string& section,
                    const std::string& name) {
     ServiceSpec spec;
     spec.name = name;
@@ -150,14 +155,16 @@
         reader.AddFault(section, "non_repeatable", it, "METHOD /path-prefix");
       }
     }
-    if (spec.kind == ServiceSpec::Kind::kModel && !spec.non_repeatable.empty()) {
+    if (spec.kind == ServiceSpec::Kind::kModel &&
+        !spec.non_repeatable.empty()) {
       reader.AddFault(section, "non_repeatable", spec.non_repeatable.front(),
                       "no entry for kind = model");
     }
     catalog_.services[name] = spec;
   }
 
-  void ReadEndpoint(IniReader& reader, const std::string& section,
+  void ReadEndpoint(IniReader& reader,
+                    const std::string& section,
                     const std::string& name) {
     EndpointSpec spec;
     spec.name = name;
@@ -173,7 +180,8 @@
     catalog_.endpoints[name] = spec;
   }
 
-  void ReadPlacement(IniReader& reader, const std::string& section,
+  void ReadPlacement(IniReader& reader,
+                     const std::string& section,
                      const std::string& name) {
     PlacementSpec spec;
     spec.name = name;
@@ -203,7 +211,8 @@
     it->second.budget = budget.name;
   }
 
-  void CheckService(const std::string& kind, const std::string& name,
+  void CheckService(const std::string& kind,
+                    const std::string& name,
                     const std::string& service) {
     if (!service.empty() && !catalog_.services.contains(service)) {
       Fault(kind, name, "service", service, "a declared service");
@@ -218,15 +227,17 @@
       }
       const auto [it, first] = models.try_emplace(service.model, name);
       if (!first) {
-        Fault("service", name, "model", service.model,
-              absl::StrCat("a model of one service; ", it->second,
-                           " offers it"));
+        Fault(
+            "service", name, "model", service.model,
+            absl::StrCat("a model of one service; ", it->second, " offers it"));
       }
     }
   }
 
-  void Fault(const std::string& kind, const std::string& name,
-             const std::string& key, const std::string& read,
+  void Fault(const std::string& kind,
+             const std::string& name,
+             const std::string& key,
+             const std::string& read,
              const std::string& allowed) {
     const std::string section = absl::StrCat(kind, " ", name);
     faults_->push_back({"declarations", section, key, read, allowed});
--- a/src/coordination/charge_custody.cpp
+++ b/src/coordination/charge_custody.cpp
@@ -94,13 +94,11 @@
 
 void ChargeCustody::OnTick(Millis now,
                            std::span<const uint64_t> peers,
-                           const std::function<bool(uint64_t)>& holder_gone,
                            Outbox& outbox) {
   for (auto it = held_.begin(); it != held_.end();) {
     Held& held = it->second;
     const Charge& charge = held.request.charge;
-    if (held.own && !held.safe &&
-        now >= held.since + options_.give_up_after) {
+    if (held.own && !held.safe && now >= held.since + options_.give_up_after) {
       AppendVoid(charge, peers, outbox);
       settled_.push_back({it->first, Safety::kNotSafe});
       it = held_.erase(it);
@@ -112,7 +110,7 @@
         held.asked.insert(peer);
         outbox.Send(peer, held.request);
       }
-      Append(held, holder_gone(charge.holder), outbox);
+      Append(held, outbox);
     }
     if (now >= held.since + options_.replicate_after) {
       Replicate(held, peers, outbox);
@@ -122,7 +120,7 @@
     const Millis patience =
         heard ? options_.append_anyway_after : options_.append_after;
     if (now >= held.since + patience) {
-      Append(held, holder_gone(charge.holder), outbox);
+      Append(held, outbox);
     }
     ++it;
   }
@@ -132,9 +130,9 @@
                               std::span<const uint64_t> peers,
                               Outbox& outbox) {
   for (const uint64_t peer : peers) {
-    const auto live = std::count_if(
-        held.asked.begin(), held.asked.end(),
-        [&](uint64_t it) { return Contains(peers, it); });
+    const auto live =
+        std::count_if(held.asked.begin(), held.asked.end(),
+                      [&](uint64_t it) { return Contains(peers, it); });
     if (static_cast<size_t>(live) >= options_.copies) {
       return;
     }
@@ -144,7 +142,7 @@
   }
 }
 
-void ChargeCustody::Append(Held& held, bool holder_gone, Outbox& outbox) {
+void ChargeCustody::Append(Held& held, Outbox& outbox) {
   const Charge& charge = held.request.charge;
   // A charge under this instance's own share is appended by its keeper.
   if (held.appended || charge.holder == self_) {
@@ -152,10 +150,6 @@
   }
   held.appended = true;
   outbox.Append(charge);
-  const int64_t rest = held.request.reserved - charge.tokens;
-  if (holder_gone && held.own && rest > 0) {
-    outbox.Append(Return{charge.organisation, charge.holder, rest});
-  }
 }
 
 std::vector<ChargeCustody::Settled> ChargeCustody::TakeSettled() {
@@ -174,13 +168,14 @@
   return kept;
 }
 
-void ChargeCustody::ForwardFrom(uint64_t entry, Outbox& outbox) const {
+std::vector<SettleRequest> ChargeCustody::ChargesOf(uint64_t entry) const {
+  std::vector<SettleRequest> charges;
   for (const auto& [attempt, held] : held_) {
-    const Charge& charge = held.request.charge;
-    if (charge.entry == entry && charge.holder != self_) {
-      outbox.Send(charge.holder, held.request);
+    if (held.request.charge.entry == entry) {
+      charges.push_back(held.request);
     }
   }
+  return charges;
 }
 
 }  // namespace tamaracktrail
--- a/src/coordination/charge_custody.h
+++ b/src/coordination/charge_custody.h
@@ -2,7 +2,6 @@
 #define COORDINATION_CHARGE_CUSTODY_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <set>
 #include <span>
@@ -21,10 +20,10 @@
 class ChargeCustody {
  public:
   struct Options {
-    Millis widen_after{400};    //!< Then other peers and the log are asked.
-    Millis give_up_after{4000}; //!< Then the answer is withheld.
-    Millis replicate_after{1000}; //!< Unconfirmed charges go to more peers.
-    size_t copies = 4;            //!< Peers that one charge is handed to.
+    Millis widen_after{400};       //!< Then other peers and the log are asked.
+    Millis give_up_after{4000};    //!< Then the answer is withheld.
+    Millis replicate_after{1000};  //!< Unconfirmed charges go to more peers.
+    size_t copies = 4;             //!< Peers that one charge is handed to.
     Millis append_after{5000};  //!< Unconfirmed charges are appended here too,
                                 //!< where neither entry nor holder is heard.
     Millis append_anyway_after{60000};  //!< And where they are.
@@ -43,8 +42,10 @@
   //! Takes this instance's own charge and sends it to its holder, or to one of
   //! the peers where the holder is not in `peers`.
   //! Precondition: charge.entry is this instance.
-  void Settle(Millis now, const SettleRequest& request,
-              std::span<const uint64_t> peers, Outbox& outbox);
+  void Settle(Millis now,
+              const SettleRequest& request,
+              std::span<const uint64_t> peers,
+              Outbox& outbox);
 
   //! Takes a peer's charge into custody and answers with SettleReply, unless
   //! this instance is the holder: then its keeper answers and appends.
@@ -53,7 +54,8 @@
   //! The answer was not delivered whole after all: voids the charge wherever
   //! it is. The peers append the void too, so that it outlives this process.
   //! Precondition: charge.entry is this instance.
-  void Withdraw(const Charge& charge, std::span<const uint64_t> peers,
+  void Withdraw(const Charge& charge,
+                std::span<const uint64_t> peers,
                 Outbox& outbox);
 
   //! Another instance holds the charge.
@@ -62,11 +64,9 @@
   //! The log has taken the charge, or has voided it.
   void OnConfirmed(uint64_t attempt, Outbox& outbox);
 
-  //! Repeats, widens, appends and gives up. `holder_gone` tells whether a
-  //! holder has exited. Precondition: `peers` excludes this instance.
-  void OnTick(Millis now, std::span<const uint64_t> peers,
-              const std::function<bool(uint64_t)>& holder_gone,
-              Outbox& outbox);
+  //! Repeats, widens, appends and gives up. Precondition: `peers` excludes this
+  //! instance.
+  void OnTick(Millis now, std::span<const uint64_t> peers, Outbox& outbox);
 
   //! Own charges that became safe or not safe since the last call. A charge
   //! that is not safe gets a Void record from this class.
@@ -75,9 +75,9 @@
   //! Unconfirmed charges under the share of `holder`.
   std::vector<KeptShare> HeldFor(uint64_t holder) const;
 
-  //! Hands charges of an exited entry to their holders (except to this
-  //! instance), so that the holders know of them before they free anything.
-  void ForwardFrom(uint64_t entry, Outbox& outbox) const;
+  //! Charges of an exited entry, so that their holders learn of them before
+  //! they free anything.
+  std::vector<SettleRequest> ChargesOf(uint64_t entry) const;
 
   bool Holds(uint64_t attempt) const { return held_.contains(attempt); }
   size_t size() const { return held_.size(); }
@@ -93,11 +93,12 @@
     std::set<uint64_t> asked;  //!< Peers that may hold it for this instance.
   };
 
-  static void AppendVoid(const Charge& charge, std::span<const uint64_t> peers,
+  static void AppendVoid(const Charge& charge,
+                         std::span<const uint64_t> peers,
                          Outbox& outbox);
   void MarkSafe(uint64_t attempt, Held& held);
   void Replicate(Held& held, std::span<const uint64_t> peers, Outbox& outbox);
-  void Append(Held& held, bool holder_gone, Outbox& outbox);
+  void Append(Held& held, Outbox& outbox);
 
   uint64_t self_;
   Options options_;
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -34,8 +34,8 @@
       placer_(options_.data_centre, options_.placer) {
   CHECK_GT(options_.shards, 0u);
   for (uint32_t i = 0; i < options_.shards; ++i) {
-    shards_.push_back(std::make_unique<LedgerShard>(
-        self.incarnation, i, options_.ledger, codec));
+    shards_.push_back(std::make_unique<LedgerShard>(self.incarnation, i,
+                                                    options_.ledger, codec));
   }
 }
 
@@ -47,8 +47,7 @@
 
 uint64_t Coordinator::KeeperOf(Millis now, uint32_t shard) const {
   const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
-  const uint64_t keeper =
-      RendezvousPick(LedgerShard::StreamName(shard), live);
+  const uint64_t keeper = RendezvousPick(LedgerShard::StreamName(shard), live);
   return keeper == 0 ? self_.incarnation : keeper;
 }
 
@@ -97,7 +96,8 @@
     return;
   }
   if (replaced.has_value()) {
-    OnExitEvidence(now, *replaced, "its address answers as another incarnation");
+    OnExitEvidence(now, *replaced,
+                   "its address answers as another incarnation");
   }
   const Membership::Peer* peer = membership_.ByIncarnation(it.from.incarnation);
   if (peer == nullptr || !peer->echoed_at.has_value()) {
@@ -197,13 +197,21 @@
   }
   OnExitEvidence(now, it.holder, "a peer has evidence of the exit");
   Outbox outbox;
-  custody_.ForwardFrom(it.holder, outbox);
   outbox.Send(from,
-              OrphanReport{it.holder, self_.incarnation, OwnOrphans(it.holder)});
+              OrphanReport{it.holder, self_.incarnation, OwnOrphans(it.holder),
+                           custody_.ChargesOf(it.holder)});
   AppendCustody(outbox);
 }
 
-void Coordinator::Handle(Millis, Millis, uint64_t, const OrphanReport& it) {
+void Coordinator::Handle(Millis now,
+                         Millis wall,
+                         uint64_t from,
+                         const OrphanReport& it) {
+  for (const SettleRequest& charge : it.charges) {
+    if (charge.charge.holder == self_.incarnation) {
+      Handle(now, wall, from, charge);
+    }
+  }
   sweep_.OnReport(it);
 }
 
@@ -403,12 +411,12 @@
       open.keeper == self_.incarnation ||
       std::find(live.begin(), live.end(), open.keeper) != live.end();
   Outbox outbox;
+  // What was reserved under an exited holder comes free with the next sweep: a
+  // return that overtakes a release would take what others account for.
   if (!exited) {
     ReservationEnd letter = end;
     letter.holder = open.keeper;
     outbox.Send(open.keeper, letter);
-  } else if (open.holder != 0) {
-    outbox.Append(Return{open.organisation, open.holder, open.tokens});
   }
   if (end.abandon && !reachable) {
     outbox.Append(Abandon{end.organisation, end.key, end.attempt});
@@ -588,9 +596,7 @@
 void Coordinator::TickCustody(Millis now) {
   Outbox outbox;
   const std::vector<uint64_t> peers = membership_.LivePeers(now);
-  custody_.OnTick(
-      now, peers, [this](uint64_t it) { return membership_.Exited(it); },
-      outbox);
+  custody_.OnTick(now, peers, outbox);
   AppendCustody(outbox);
   std::erase_if(custody_tickets_, [&](const CustodyTicket& it) {
     const bool confirmed = shards_[it.shard]->writer().Confirmed(it.ticket);
@@ -616,7 +622,8 @@
   sweep_.OnTick(now, members, outbox);
   AppendCustody(outbox);
   for (ExitSweep::Complete& it : sweep_.TakeComplete(members)) {
-    const OrphanReport own{it.exited, self_.incarnation, OwnOrphans(it.exited)};
+    const OrphanReport own{
+        it.exited, self_.incarnation, OwnOrphans(it.exited), {}};
     std::map<uint64_t, KeptShare> kept;
     for (const KeptShare& share : it.kept) {
       kept[share.attempt] = share;
@@ -629,7 +636,7 @@
       all.push_back(share);
     }
     for (auto& shard : shards_) {
-      shard->OnEntryExit(now, it.exited, outbox);
+      shard->OnEntryExit(it.exited, outbox);
       Collect(*shard, outbox);
       if (Serving(now, shard->number()) && shard->caught_up()) {
         std::vector<KeptShare> own_kept = all;
@@ -701,8 +708,8 @@
   const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
   const bool designated =
       RendezvousPick(kControlStream, live) == self_.incarnation;
-  const uint64_t limit = options_.control_snapshot_records *
-                         (designated ? 1 : kOverdueFactor);
+  const uint64_t limit =
+      options_.control_snapshot_records * (designated ? 1 : kOverdueFactor);
   if (control_since_snapshot_ >= limit && control_.live()) {
     control_since_snapshot_ = 0;
     control_writer_.Add(control_.MakeSnapshot());
@@ -720,9 +727,8 @@
     term_asked_ = now;
     control_writer_.Add(Term{options_.data_centre, self_.incarnation});
   }
-  placer_.SetTerm(now, held && !draining_
-                           ? std::optional(term->fencing_number)
-                           : std::nullopt);
+  placer_.SetTerm(now, held && !draining_ ? std::optional(term->fencing_number)
+                                          : std::nullopt);
   if (catalog_ == nullptr) {
     return;
   }
@@ -730,8 +736,7 @@
   for (const auto& [name, it] : catalog_->placements) {
     placements.push_back(it);
   }
-  for (Order& it :
-       placer_.Decide(now, placements, endpoint_states_, demand_)) {
+  for (Order& it : placer_.Decide(now, placements, endpoint_states_, demand_)) {
     control_writer_.Add(std::move(it));
   }
 }
@@ -864,7 +869,7 @@
   for (const auto& [address, peer] : membership_.peers()) {
     const bool is_live =
         std::find(live.begin(), live.end(), peer.incarnation) != live.end();
-    const char* state = is_live                ? "live"
+    const char* state = is_live                 ? "live"
                         : peer.incarnation != 0 ? "suspected"
                                                 : "unknown";
     out.peers.push_back(
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -61,18 +61,23 @@
   // Events from other instances.
 
   //! Precondition: the transport has authenticated `from` as the sender.
-  void OnMessage(Millis now, Millis wall, uint64_t from,
+  void OnMessage(Millis now,
+                 Millis wall,
+                 uint64_t from,
                  const PeerMessage& message);
 
   //! The process of `incarnation` has ended: its address refuses connections
   //! or answers as another incarnation. A timeout is no evidence.
-  void OnExitEvidence(Millis now, uint64_t incarnation,
+  void OnExitEvidence(Millis now,
+                      uint64_t incarnation,
                       const std::string& evidence);
 
   // Events from the log.
 
-  void OnLogEntries(Millis now, const std::string& stream,
-                    std::span<const LogEntry> entries, bool at_end);
+  void OnLogEntries(Millis now,
+                    const std::string& stream,
+                    std::span<const LogEntry> entries,
+                    bool at_end);
   void OnAppended(Millis now, const std::string& stream, bool ok);
 
   // Requests of this process's entry.
@@ -143,8 +148,8 @@
  private:
   struct OpenReservation {
     std::string organisation;
-    uint64_t keeper = 0;   //!< Asked.
-    uint64_t holder = 0;   //!< Granted by; 0 while it is asked for.
+    uint64_t keeper = 0;  //!< Asked.
+    uint64_t holder = 0;  //!< Granted by; 0 while it is asked for.
     int64_t tokens = 0;
   };
 
@@ -171,7 +176,10 @@
   void Handle(Millis now, Millis wall, uint64_t from, const ReserveReply& it);
   void Handle(Millis now, Millis wall, uint64_t from, const SettleRequest& it);
   void Handle(Millis now, Millis wall, uint64_t from, const SettleReply& it);
-  void Handle(Millis now, Millis wall, uint64_t from, const ChargeConfirmed& it);
+  void Handle(Millis now,
+              Millis wall,
+              uint64_t from,
+              const ChargeConfirmed& it);
   void Handle(Millis now, Millis wall, uint64_t from, const ReservationEnd& it);
   void Handle(Millis now, Millis wall, uint64_t from, const RecordsNote& it);
   void Handle(Millis now, Millis wall, uint64_t from, const OrphanQuery& it);
@@ -179,7 +187,9 @@
   void Handle(Millis now, Millis wall, uint64_t from, const ConfigRequest& it);
   void Handle(Millis now, Millis wall, uint64_t from, const ConfigReply& it);
   void Handle(Millis now, Millis wall, uint64_t from, const CrashNotice& it);
-  void Handle(Millis now, Millis wall, uint64_t from,
+  void Handle(Millis now,
+              Millis wall,
+              uint64_t from,
               const ReservationQuery& it);
   template <class Other>
   void Handle(Millis, Millis, uint64_t, const Other&) {}
@@ -220,8 +230,8 @@
   Placer placer_;
   std::map<uint64_t, std::string> exit_evidence_;
   std::map<uint64_t, Millis> swept_at_;
-  std::map<uint64_t, OpenReservation> reservations_;  //!< By attempt.
-  std::map<uint64_t, ContentCheck> content_checks_;   //!< By attempt.
+  std::map<uint64_t, OpenReservation> reservations_;         //!< By attempt.
+  std::map<uint64_t, ContentCheck> content_checks_;          //!< By attempt.
   std::map<std::string, std::set<uint64_t>> crash_notices_;  //!< By content.
   std::vector<CustodyTicket> custody_tickets_;
   std::map<uint64_t, Ended> ended_;  //!< Without a charge, by attempt.
--- a/src/coordination/coordinator_status.h
+++ b/src/coordination/coordinator_status.h
@@ -36,9 +36,9 @@
   bool draining = false;
   size_t charges_in_custody = 0;
   size_t open_sweeps = 0;
-  int64_t stuck_tokens = 0;  //!< In shares of exited incarnations.
-  size_t backlog = 0;        //!< Records not confirmed yet.
-  int append_failures = 0;   //!< Consecutive, the worst stream's.
+  int64_t stuck_tokens = 0;     //!< In shares of exited incarnations.
+  size_t backlog = 0;           //!< Records not confirmed yet.
+  int append_failures = 0;      //!< Consecutive, the worst stream's.
   uint64_t fencing_number = 0;  //!< 0 where this instance is not the placer.
   std::vector<PeerStatus> peers;
   std::vector<ShardStatus> shards;
--- a/src/coordination/endpoint_candidate.h
+++ b/src/coordination/endpoint_candidate.h
@@ -8,8 +8,8 @@
 //! An endpoint that may get a request now.
 struct EndpointCandidate {
   std::string name;
-  double load = 0;   //!< Estimated requests in progress over the capacity.
-  bool local = true; //!< In this instance's data centre.
+  double load = 0;    //!< Estimated requests in progress over the capacity.
+  bool local = true;  //!< In this instance's data centre.
 
   friend bool operator==(const EndpointCandidate&,
                          const EndpointCandidate&) = default;
--- a/src/coordination/endpoint_choice.h
+++ b/src/coordination/endpoint_choice.h
@@ -16,11 +16,12 @@
 //! Picks one of several candidates for a request.
 //! Precondition of Pick: `candidates` is not empty.
 template <class C>
-concept EndpointChoice =
-    requires(const C choice, std::span<const EndpointCandidate> candidates,
-             const std::string& prefix, Random& random) {
-      { choice.Pick(candidates, prefix, random) } -> std::same_as<size_t>;
-    };
+concept EndpointChoice = requires(const C choice,
+                                  std::span<const EndpointCandidate> candidates,
+                                  const std::string& prefix,
+                                  Random& random) {
+  { choice.Pick(candidates, prefix, random) } -> std::same_as<size_t>;
+};
 
 //! Baseline: any candidate. Thread-safe.
 struct RandomChoice {
--- a/src/coordination/endpoint_observation.h
+++ b/src/coordination/endpoint_observation.h
@@ -14,10 +14,10 @@
 struct EndpointObservation {
   std::string endpoint;
   EndpointHealth health = EndpointHealth::kUnknown;
-  int load = 0;        //!< Requests in progress, as the endpoint reports them.
-  std::string boot_id; //!< Changes when the endpoint restarts; may be empty.
+  int load = 0;         //!< Requests in progress, as the endpoint reports them.
+  std::string boot_id;  //!< Changes when the endpoint restarts; may be empty.
   std::vector<std::string> loaded;  //!< Models, adapters and versions.
-  Millis as_of;        //!< The state was seen at this time or later.
+  Millis as_of;  //!< The state was seen at this time or later.
 
   friend bool operator==(const EndpointObservation&,
                          const EndpointObservation&) = default;
--- a/src/coordination/endpoint_table.cpp
+++ b/src/coordination/endpoint_table.cpp
@@ -138,8 +138,7 @@
   double room = 0;
   for (const EndpointCandidate& it : Candidates(now, service)) {
     const Entry& entry = entries_.at(it.name);
-    room += std::ceil((1 - it.load) * entry.spec.capacity *
-                      RampOf(now, entry));
+    room += std::ceil((1 - it.load) * entry.spec.capacity * RampOf(now, entry));
   }
   return static_cast<int>(room);
 }
@@ -207,8 +206,8 @@
       continue;
     }
     const EndpointObservation& last = *it->second.last;
-    news.push_back({name, now - last.as_of, static_cast<int32_t>(last.health),
-                    last.load});
+    news.push_back(
+        {name, now - last.as_of, static_cast<int32_t>(last.health), last.load});
   }
   return news;
 }
--- a/src/coordination/endpoint_table.h
+++ b/src/coordination/endpoint_table.h
@@ -25,14 +25,14 @@
 class EndpointTable {
  public:
   struct Options {
-    Millis stale_after{1900};   //!< Age at which an observation is no use.
-    Millis probe_before{900};   //!< Age at which this instance probes itself.
-    Millis load_lag{500};       //!< Lag of the load that endpoints report.
-    Millis slow_start{10000};   //!< Ramp after an endpoint came up.
+    Millis stale_after{1900};  //!< Age at which an observation is no use.
+    Millis probe_before{900};  //!< Age at which this instance probes itself.
+    Millis load_lag{500};      //!< Lag of the load that endpoints report.
+    Millis slow_start{10000};  //!< Ramp after an endpoint came up.
     double slow_start_floor = 0.1;
-    int eject_after = 3;        //!< Consecutive failures.
-    Millis eject_time{5000};    //!< Doubles with each further ejection.
-    double max_ejected = 0.5;   //!< Part of a service's endpoints.
+    int eject_after = 3;       //!< Consecutive failures.
+    Millis eject_time{5000};   //!< Doubles with each further ejection.
+    double max_ejected = 0.5;  //!< Part of a service's endpoints.
   };
 
   EndpointTable(std::string data_centre, Options options);
@@ -86,8 +86,8 @@
     int failures = 0;
     int ejections = 0;
     Millis ejected_until;
-    std::deque<Millis> sends;    //!< Recent dispatches.
-    std::deque<Millis> finishes; //!< Recent ends.
+    std::deque<Millis> sends;     //!< Recent dispatches.
+    std::deque<Millis> finishes;  //!< Recent ends.
   };
 
   bool Fresh(Millis now, const Entry& entry) const;
--- a/src/coordination/escrow_policy.cpp
+++ b/src/coordination/escrow_policy.cpp
@@ -7,17 +7,18 @@
 namespace {
 
 constexpr int64_t kStockedRequests = 4;  //!< Least stock, in worst cases.
-constexpr int64_t kSurplusFactor = 2;    //!< Stock above target x this goes back.
+constexpr int64_t kSurplusFactor = 2;  //!< Stock above target x this goes back.
 constexpr double kYieldCoverSeconds = 1;
 
 }  // namespace
 
 int64_t EscrowPolicy::Target(const StockView& view) const {
   const int64_t even_split = (view.undrawn + view.share) / view.data_centres;
-  const auto limit = static_cast<int64_t>(hold_ * static_cast<double>(even_split));
-  const auto demand = static_cast<int64_t>(
-      view.demand * static_cast<double>(cover_.count()) /
-      static_cast<double>(kSecond.count()));
+  const auto limit =
+      static_cast<int64_t>(hold_ * static_cast<double>(even_split));
+  const auto demand =
+      static_cast<int64_t>(view.demand * static_cast<double>(cover_.count()) /
+                           static_cast<double>(kSecond.count()));
   return std::min(limit, std::max(demand, kStockedRequests * view.largest));
 }
 
--- a/src/coordination/flow_spec.h
+++ b/src/coordination/flow_spec.h
@@ -17,8 +17,8 @@
   uint64_t entry = 0;
   uint64_t attempt = 0;  //!< Names the reservation, the claim and the charge.
   uint64_t config_version = 0;
-  int64_t worst_case = 0;    //!< Tokens to reserve.
-  int64_t fixed_cost = 0;    //!< Tokens of a plain call; 0 for a model's usage.
+  int64_t worst_case = 0;  //!< Tokens to reserve.
+  int64_t fixed_cost = 0;  //!< Tokens of a plain call; 0 for a model's usage.
   bool repeatable = true;
   bool resumable = false;
   int max_tries = 3;
--- a/src/coordination/keeper.cpp
+++ b/src/coordination/keeper.cpp
@@ -17,10 +17,7 @@
                        Policy policy,
                        Options options,
                        const LedgerFold* fold)
-    : self_(self),
-      policy_(std::move(policy)),
-      options_(options),
-      fold_(fold) {
+    : self_(self), policy_(std::move(policy)), options_(options), fold_(fold) {
   CHECK_GT(options_.data_centres, 0);
 }
 
@@ -103,9 +100,9 @@
                            const ReserveRequest& request,
                            Outbox& outbox) {
   books_[request.organisation].reserved += request.tokens;
-  reservations_[request.attempt] = Reservation{
-      request, !request.claim, now + options_.claim_wait,
-      now + options_.query_after};
+  reservations_[request.attempt] =
+      Reservation{request, !request.claim, now + options_.claim_wait,
+                  now + options_.query_after};
   if (!request.claim) {
     Reply(request, ResultCode::kOk, outbox);
     return;
@@ -186,18 +183,18 @@
                                Outbox& outbox) {
   CHECK(!fold_->HolderExited(self_))
       << "this instance's shares were released while it runs";
-  std::set<std::string> touched;
+  touched_.clear();
   for (size_t i = 0; i < batch.batch.records.size(); ++i) {
     std::visit(
         [&](const auto& it) {
           On(now, it, batch, batch.verdicts[i], outbox);
           if constexpr (requires { it.organisation; }) {
-            touched.insert(it.organisation);
+            touched_.insert(it.organisation);
           }
         },
         batch.batch.records[i]);
   }
-  for (const std::string& it : touched) {
+  for (const std::string& it : touched_) {
     if (books_.contains(it)) {
       CheckBook(it);
       ServeQueue(now, it, outbox);
@@ -210,9 +207,10 @@
 void Keeper<Policy>::On(Millis,
                         const Charge& record,
                         const AppliedBatch&,
-                        FoldVerdict,
+                        FoldVerdict verdict,
                         Outbox& outbox) {
-  if (record.holder != self_) {
+  // A fenced append settles nothing: this keeper's own one may follow.
+  if (record.holder != self_ || verdict == FoldVerdict::kHolderExited) {
     return;
   }
   // The charge may have been appended by another custodian.
@@ -317,23 +315,41 @@
 }
 
 template <SharePolicy Policy>
-void Keeper<Policy>::OnEntryExit(Millis now, uint64_t entry, Outbox& outbox) {
-  std::vector<ReserveRequest> ended;
+void Keeper<Policy>::OnEntryExit(uint64_t entry, Outbox& outbox) {
+  for (auto& [organisation, book] : books_) {
+    std::erase_if(book.queue,
+                  [&](const Waiting& it) { return it.request.entry == entry; });
+  }
+  const bool reserves = std::any_of(
+      reservations_.begin(), reservations_.end(),
+      [&](const auto& it) { return it.second.request.entry == entry; });
+  if (reserves) {
+    outbox.Append(Fence{self_, entry});
+  }
+}
+
+template <SharePolicy Policy>
+void Keeper<Policy>::On(Millis,
+                        const Fence& record,
+                        const AppliedBatch&,
+                        FoldVerdict,
+                        Outbox&) {
+  if (record.holder == self_) {
+    FreeEntry(record.entry);
+  }
+}
+
+template <SharePolicy Policy>
+void Keeper<Policy>::FreeEntry(uint64_t entry) {
+  std::vector<uint64_t> attempts;
   for (const auto& [attempt, it] : reservations_) {
     if (it.request.entry == entry) {
-      ended.push_back(it.request);
+      attempts.push_back(attempt);
+      touched_.insert(it.request.organisation);
     }
   }
-  for (const ReserveRequest& it : ended) {
-    EndReservation(it.attempt);
-  }
-  for (auto& [organisation, book] : books_) {
-    std::erase_if(book.queue, [&](const Waiting& it) {
-      return it.request.entry == entry;
-    });
-  }
-  for (const ReserveRequest& it : ended) {
-    ServeQueue(now, it.organisation, outbox);
+  for (const uint64_t it : attempts) {
+    EndReservation(it);
   }
 }
 
@@ -442,8 +458,8 @@
   }
   const StockView view = ViewOf(now, organisation);
   // A keeper that hands over draws for waiting requests only.
-  const int64_t queued = std::clamp<int64_t>(view.queued - view.available, 0,
-                                             view.undrawn);
+  const int64_t queued =
+      std::clamp<int64_t>(view.queued - view.available, 0, view.undrawn);
   const int64_t draw = serving_ ? policy_.Draw(view) : queued;
   if (draw > 0) {
     book.draws_in_flight += draw;
--- a/src/coordination/keeper.h
+++ b/src/coordination/keeper.h
@@ -42,7 +42,9 @@
   Keeper(uint64_t self, Policy policy, Options options, const LedgerFold* fold);
 
   //! Grants, queues or refuses. Answers with one ReserveReply, now or later.
-  void OnReserve(Millis now, Millis wall, const ReserveRequest& request,
+  void OnReserve(Millis now,
+                 Millis wall,
+                 const ReserveRequest& request,
                  Outbox& outbox);
 
   //! Takes a charge under this keeper's reservation into custody and answers
@@ -55,9 +57,10 @@
   //! The fold has taken in a batch.
   void OnApplied(Millis now, const AppliedBatch& batch, Outbox& outbox);
 
-  //! Precondition: the entry's process has exited and no instance holds a
-  //! charge of it that this keeper does not know.
-  void OnEntryExit(Millis now, uint64_t entry, Outbox& outbox);
+  //! Frees what the entry had reserved once a fence against its late appends is
+  //! read back. Precondition: the entry's process has exited and no other
+  //! instance holds a charge of it that this keeper does not know.
+  void OnEntryExit(uint64_t entry, Outbox& outbox);
 
   //! Entries without recent heartbeats. Their reservations stay, but a retry of
   //! their keys is let in.
@@ -123,24 +126,46 @@
   ResultCode RefusalCode(const ReserveRequest& request) const;
   StockView ViewOf(Millis now, const std::string& organisation) const;
   void Stock(Millis now, const std::string& organisation, Outbox& outbox);
-  void GiveBack(const std::string& organisation, int64_t tokens,
+  void GiveBack(const std::string& organisation,
+                int64_t tokens,
                 Outbox& outbox);
   void ServeQueue(Millis now, const std::string& organisation, Outbox& outbox);
   void ExpireQueue(Millis now, const std::string& organisation, Outbox& outbox);
   void ExpireClaims(Millis now, Outbox& outbox);
   void QueryEntries(Millis now, Outbox& outbox);
+  void FreeEntry(uint64_t entry);
   void CheckBook(const std::string& organisation) const;
 
-  void On(Millis now, const Charge& record, const AppliedBatch& batch,
-          FoldVerdict verdict, Outbox& outbox);
-  void On(Millis now, const Draw& record, const AppliedBatch& batch,
-          FoldVerdict verdict, Outbox& outbox);
-  void On(Millis now, const Return& record, const AppliedBatch& batch,
-          FoldVerdict verdict, Outbox& outbox);
-  void On(Millis now, const Want& record, const AppliedBatch& batch,
-          FoldVerdict verdict, Outbox& outbox);
-  void On(Millis now, const Claim& record, const AppliedBatch& batch,
-          FoldVerdict verdict, Outbox& outbox);
+  void On(Millis now,
+          const Charge& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
+  void On(Millis now,
+          const Draw& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
+  void On(Millis now,
+          const Return& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
+  void On(Millis now,
+          const Want& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
+  void On(Millis now,
+          const Claim& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
+  void On(Millis now,
+          const Fence& record,
+          const AppliedBatch& batch,
+          FoldVerdict verdict,
+          Outbox& outbox);
   template <class Other>
   void On(Millis, const Other&, const AppliedBatch&, FoldVerdict, Outbox&) {}
 
@@ -149,9 +174,12 @@
   Options options_;
   const LedgerFold* fold_;
   std::unordered_map<std::string, Book> books_;
-  std::map<uint64_t, Reservation> reservations_;      //!< By attempt.
+  std::map<uint64_t, Reservation> reservations_;       //!< By attempt.
   std::map<uint64_t, PendingCharge> pending_charges_;  //!< By attempt.
   std::set<uint64_t> suspected_;
+  //! Budgets touched by the batch that is being taken in. The fold has all of
+  //! the batch already, so books are served and checked only at its end.
+  std::set<std::string> touched_;
   bool serving_ = true;
 };
 
--- a/src/coordination/ledger_shard.cpp
+++ b/src/coordination/ledger_shard.cpp
@@ -79,10 +79,10 @@
   keeper_.OnReservationEnd(now, end, outbox);
 }
 
-void LedgerShard::OnEntryExit(Millis now, uint64_t entry, Outbox& outbox) {
+void LedgerShard::OnEntryExit(uint64_t entry, Outbox& outbox) {
   std::erase_if(early_,
                 [&](const Early& it) { return it.request.entry == entry; });
-  keeper_.OnEntryExit(now, entry, outbox);
+  keeper_.OnEntryExit(entry, outbox);
 }
 
 void LedgerShard::OnSweep(uint64_t exited, std::vector<KeptShare> kept) {
--- a/src/coordination/ledger_shard.h
+++ b/src/coordination/ledger_shard.h
@@ -33,7 +33,9 @@
   };
 
   //! Precondition: `codec` outlives the shard.
-  LedgerShard(uint64_t self, uint32_t number, const Options& options,
+  LedgerShard(uint64_t self,
+              uint32_t number,
+              const Options& options,
               const BatchCodec* codec);
 
   LedgerShard(const LedgerShard&) = delete;
@@ -41,15 +43,19 @@
 
   //! Entries of the stream in ascending order. `at_end` where the log has none
   //! after them.
-  void OnEntries(Millis now, std::span<const LogEntry> entries, bool at_end,
+  void OnEntries(Millis now,
+                 std::span<const LogEntry> entries,
+                 bool at_end,
                  Outbox& outbox);
 
   //! Hands the request to the keeper once the fold has caught up.
-  void OnReserve(Millis now, Millis wall, const ReserveRequest& request,
+  void OnReserve(Millis now,
+                 Millis wall,
+                 const ReserveRequest& request,
                  Outbox& outbox);
   void OnSettle(Millis now, const SettleRequest& request, Outbox& outbox);
   void OnReservationEnd(Millis now, const ReservationEnd& end, Outbox& outbox);
-  void OnEntryExit(Millis now, uint64_t entry, Outbox& outbox);
+  void OnEntryExit(uint64_t entry, Outbox& outbox);
 
   //! An exit sweep is complete: frees what the exited holder had, but for
   //! `kept`, which are this shard's attempts only.
@@ -58,7 +64,10 @@
   //! `serving`: this instance is the shard's keeper in its data centre.
   //! `designated`: it is the one to write snapshots; others stand in once one
   //! is long overdue.
-  void OnTick(Millis now, Millis wall, bool serving, bool designated,
+  void OnTick(Millis now,
+              Millis wall,
+              bool serving,
+              bool designated,
               Outbox& outbox);
 
   //! Appends records of `outbox` to this shard's writer.
--- a/src/coordination/log_writer.h
+++ b/src/coordination/log_writer.h
@@ -22,10 +22,10 @@
 class LogWriter {
  public:
   struct Policy {
-    Millis interval{200};          //!< Shortest time between new batches.
-    Millis retry{1000};            //!< Time before an append is repeated.
-    size_t max_records = 500;      //!< Records in a batch.
-    size_t max_bytes = 512 * 1024; //!< Rough size of a batch.
+    Millis interval{200};           //!< Shortest time between new batches.
+    Millis retry{1000};             //!< Time before an append is repeated.
+    size_t max_records = 500;       //!< Records in a batch.
+    size_t max_bytes = 512 * 1024;  //!< Rough size of a batch.
   };
 
   //! Precondition: `codec` outlives the writer; `writer` is this process's
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -33,7 +33,7 @@
     std::string data_centre;
     uint64_t sequence = 0;
     std::optional<Millis> heard_at;
-    Millis peer_sent_at;  //!< To be echoed.
+    Millis peer_sent_at;              //!< To be echoed.
     std::optional<Millis> echoed_at;  //!< When we sent what the peer echoed.
     uint64_t config_version = 0;
     bool draining = false;
@@ -49,7 +49,8 @@
   //! Takes in a heartbeat. False where it is old, or from another data centre,
   //! or from an incarnation that has exited. `replaced` is set to an earlier
   //! incarnation at the same address, which has therefore exited.
-  bool OnHeartbeat(Millis now, const Heartbeat& heartbeat,
+  bool OnHeartbeat(Millis now,
+                   const Heartbeat& heartbeat,
                    std::optional<uint64_t>& replaced);
 
   //! The incarnation's process has ended.
@@ -59,8 +60,10 @@
   std::vector<std::string> Due(Millis now);
 
   //! Header of the next heartbeat to `address`.
-  Heartbeat MakeHeartbeat(Millis now, const std::string& address,
-                          uint64_t config_version, bool draining);
+  Heartbeat MakeHeartbeat(Millis now,
+                          const std::string& address,
+                          uint64_t config_version,
+                          bool draining);
 
   //! Heard from lately, in both directions, and not draining; without this
   //! instance.
@@ -78,7 +81,9 @@
   const Peer* ByIncarnation(uint64_t incarnation) const;
   const Peer* ByAddress(const std::string& address) const;
   const std::map<std::string, Peer>& peers() const { return peers_; }
-  bool Exited(uint64_t incarnation) const { return exited_.contains(incarnation); }
+  bool Exited(uint64_t incarnation) const {
+    return exited_.contains(incarnation);
+  }
 
  private:
   bool Live(Millis now, const Peer& peer) const;
--- a/src/coordination/placer.cpp
+++ b/src/coordination/placer.cpp
@@ -24,11 +24,10 @@
   pending_.clear();
 }
 
-std::vector<Order> Placer::Decide(
-    Millis now,
-    const std::vector<PlacementSpec>& placements,
-    const std::vector<EndpointState>& endpoints,
-    const std::map<std::string, int>& demand) {
+std::vector<Order> Placer::Decide(Millis now,
+                                  const std::vector<PlacementSpec>& placements,
+                                  const std::vector<EndpointState>& endpoints,
+                                  const std::map<std::string, int>& demand) {
   std::vector<Order> orders;
   if (!fencing_number_.has_value()) {
     return orders;
@@ -67,8 +66,8 @@
 }
 
 bool Placer::Busy(Millis now, const EndpointState& endpoint) const {
-  const bool in_handover = !endpoint.checks_fencing &&
-                           now < term_since_ + options_.handover_wait;
+  const bool in_handover =
+      !endpoint.checks_fencing && now < term_since_ + options_.handover_wait;
   auto it = pending_.find(endpoint.name);
   if (in_handover) {
     return true;
@@ -88,8 +87,8 @@
     const std::vector<EndpointState>& endpoints) const {
   const EndpointState* best = nullptr;
   for (const EndpointState& it : endpoints) {
-    const bool fits = it.up && it.service == placement.service &&
-                      !Has(it, placement.target);
+    const bool fits =
+        it.up && it.service == placement.service && !Has(it, placement.target);
     if (!fits) {
       continue;
     }
@@ -108,11 +107,10 @@
                role ? "role" : "load", placement.target};
 }
 
-std::optional<Order> Placer::Unload(
-    Millis now,
-    const PlacementSpec& placement,
-    const std::vector<EndpointState>& endpoints,
-    int copies) const {
+std::optional<Order> Placer::Unload(Millis now,
+                                    const PlacementSpec& placement,
+                                    const std::vector<EndpointState>& endpoints,
+                                    int copies) const {
   const EndpointState* best = nullptr;
   for (const EndpointState& it : endpoints) {
     if (!it.up || it.service != placement.service ||
--- a/src/coordination/placer.h
+++ b/src/coordination/placer.h
@@ -13,8 +13,8 @@
 
 namespace tamaracktrail {
 
-//! Decides which orders the endpoints of one data centre need, from the declared
-//! placements, the demand and what the endpoints report as loaded.
+//! Decides which orders the endpoints of one data centre need, from the
+//! declared placements, the demand and what the endpoints report as loaded.
 //!
 //! It acts only for the holder of the data centre's term. Orders are desired
 //! state: each is recorded, sent once its record is accepted, and read back
@@ -63,9 +63,11 @@
   };
 
   bool Busy(Millis now, const EndpointState& endpoint) const;
-  std::optional<Order> Load(Millis now, const PlacementSpec& placement,
+  std::optional<Order> Load(Millis now,
+                            const PlacementSpec& placement,
                             const std::vector<EndpointState>& endpoints) const;
-  std::optional<Order> Unload(Millis now, const PlacementSpec& placement,
+  std::optional<Order> Unload(Millis now,
+                              const PlacementSpec& placement,
                               const std::vector<EndpointState>& endpoints,
                               int copies) const;
 
--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -140,9 +140,9 @@
   }
   Actions out;
   if (!spec_.repeatable) {
-    out.push_back(NoteRecord{
-        Outcome{spec_.organisation, spec_.key, spec_.attempt, endpoint_,
-                event.status, static_cast<int32_t>(ResultCode::kOk)}});
+    out.push_back(NoteRecord{Outcome{spec_.organisation, spec_.key,
+                                     spec_.attempt, endpoint_, event.status,
+                                     static_cast<int32_t>(ResultCode::kOk)}});
   }
   if (caller_gone_) {
     const Actions fail = Fail(ResultCode::kCallerGone);
@@ -178,8 +178,8 @@
   }
   phase_ = Phase::kRecordingCrash;
   phase_since_ = now;
-  return {RecordCrash{
-      Crash{spec_.content, endpoint_, spec_.key, spec_.attempt}}};
+  return {
+      RecordCrash{Crash{spec_.content, endpoint_, spec_.key, spec_.attempt}}};
 }
 
 RequestFlow::Actions RequestFlow::RetryCut(Millis) {
@@ -256,10 +256,10 @@
   if (exposed_) {
     out.push_back(NoteRecord{MakeRun(code)});
   } else {
-    out.push_back(NoteRecord{Refusal{
-        spec_.organisation, spec_.key, spec_.entry, spec_.service,
-        static_cast<int32_t>(code), InfoOf(code).description,
-        spec_.config_version}});
+    out.push_back(
+        NoteRecord{Refusal{spec_.organisation, spec_.key, spec_.entry,
+                           spec_.service, static_cast<int32_t>(code),
+                           InfoOf(code).description, spec_.config_version}});
   }
   EndReservation(out);
   phase_ = Phase::kDone;
@@ -289,9 +289,9 @@
   charge.endpoint = endpoint_;
   charge.prompt_tokens = event.prompt_tokens;
   charge.completion_tokens = event.completion_tokens;
-  const int64_t usage =
-      spec_.fixed_cost > 0 ? spec_.fixed_cost
-                           : event.prompt_tokens + event.completion_tokens;
+  const int64_t usage = spec_.fixed_cost > 0
+                            ? spec_.fixed_cost
+                            : event.prompt_tokens + event.completion_tokens;
   // The reservation is the most a caller agreed to.
   charge.tokens = std::clamp<int64_t>(usage, 0, spec_.worst_case);
   charge.config_version = spec_.config_version;
--- a/src/coordination/request_flow.h
+++ b/src/coordination/request_flow.h
@@ -91,9 +91,9 @@
   Phase phase_ = Phase::kNew;
   Millis phase_since_;
   Millis last_event_;
-  uint64_t holder_ = 0;       //!< Of the standing reservation; 0 for none.
-  bool reserve_open_ = false; //!< Asked for, and not refused or ended.
-  bool exposed_ = false;      //!< Bytes may have reached an endpoint.
+  uint64_t holder_ = 0;        //!< Of the standing reservation; 0 for none.
+  bool reserve_open_ = false;  //!< Asked for, and not refused or ended.
+  bool exposed_ = false;       //!< Bytes may have reached an endpoint.
   bool caller_gone_ = false;
   int tries_ = 0;
   uint64_t next_sequence_ = 0;
--- a/src/coordination/stock_view.h
+++ b/src/coordination/stock_view.h
@@ -10,13 +10,13 @@
 struct StockView {
   int64_t prepaid = 0;
   int64_t undrawn = 0;
-  int64_t share = 0;        //!< The keeper's, reservations included.
-  int64_t available = 0;    //!< The keeper's, not reserved.
-  int64_t drawn = 0;        //!< Granted to this keeper so far.
-  int64_t queued = 0;       //!< Worst cases that wait for tokens.
-  int64_t largest = 0;      //!< Largest recent worst case.
-  double demand = 0;        //!< Tokens a second, smoothed.
-  int64_t data_centres = 1; //!< That share the budget.
+  int64_t share = 0;         //!< The keeper's, reservations included.
+  int64_t available = 0;     //!< The keeper's, not reserved.
+  int64_t drawn = 0;         //!< Granted to this keeper so far.
+  int64_t queued = 0;        //!< Worst cases that wait for tokens.
+  int64_t largest = 0;       //!< Largest recent worst case.
+  double demand = 0;         //!< Tokens a second, smoothed.
+  int64_t data_centres = 1;  //!< That share the budget.
 
   friend bool operator==(const StockView&, const StockView&) = default;
 };
--- a/src/protocol/charge_confirmed.h
+++ b/src/protocol/charge_confirmed.h
@@ -9,7 +9,8 @@
 struct ChargeConfirmed {
   uint64_t attempt = 0;
 
-  friend bool operator==(const ChargeConfirmed&, const ChargeConfirmed&) = default;
+  friend bool operator==(const ChargeConfirmed&,
+                         const ChargeConfirmed&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/protocol/heartbeat.h
+++ b/src/protocol/heartbeat.h
@@ -33,7 +33,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(from, data_centre, sequence, config_version, draining, sent_at, echo, echo_of, endpoints);
+    archive(from, data_centre, sequence, config_version, draining, sent_at,
+            echo, echo_of, endpoints);
   }
 };
 
--- a/src/protocol/ini_reader.cpp
+++ b/src/protocol/ini_reader.cpp
@@ -64,7 +64,8 @@
   }
   int64_t value = 0;
   if (!absl::SimpleAtoi(*text, &value) || value < min || value > max) {
-    AddFault(section, key, *text, absl::StrCat("an integer in ", min, "..", max));
+    AddFault(section, key, *text,
+             absl::StrCat("an integer in ", min, "..", max));
     return fallback;
   }
   return value;
@@ -156,8 +157,7 @@
 
 bool IsAddress(const std::string& text) {
   GError* ec = nullptr;
-  GSocketConnectable* address =
-      g_network_address_parse(text.c_str(), 0, &ec);
+  GSocketConnectable* address = g_network_address_parse(text.c_str(), 0, &ec);
   if (address == nullptr) {
     g_error_free(ec);
     return false;
--- a/src/protocol/ini_reader.h
+++ b/src/protocol/ini_reader.h
@@ -20,7 +20,8 @@
 class IniReader {
  public:
   //! Precondition: `faults` outlives the reader.
-  IniReader(std::string file, const std::string& text,
+  IniReader(std::string file,
+            const std::string& text,
             std::vector<SettingFault>* faults);
   ~IniReader();
 
@@ -36,22 +37,32 @@
                                     bool required = false);
 
   //! The value, or `fallback` where the key is absent or at fault.
-  int64_t Integer(const std::string& section, const std::string& key,
-                  int64_t fallback, int64_t min, int64_t max);
-  double Number(const std::string& section, const std::string& key,
-                double fallback, double min, double max);
-  bool Boolean(const std::string& section, const std::string& key,
+  int64_t Integer(const std::string& section,
+                  const std::string& key,
+                  int64_t fallback,
+                  int64_t min,
+                  int64_t max);
+  double Number(const std::string& section,
+                const std::string& key,
+                double fallback,
+                double min,
+                double max);
+  bool Boolean(const std::string& section,
+               const std::string& key,
                bool fallback);
   std::vector<std::string> List(const std::string& section,
                                 const std::string& key);
 
   //! The value, which must be one of `allowed`; else the first of them.
-  std::string Choice(const std::string& section, const std::string& key,
+  std::string Choice(const std::string& section,
+                     const std::string& key,
                      const std::vector<std::string>& allowed);
 
   //! Adds a fault about a value that was read.
-  void AddFault(const std::string& section, const std::string& key,
-                const std::string& read, const std::string& allowed);
+  void AddFault(const std::string& section,
+                const std::string& key,
+                const std::string& read,
+                const std::string& allowed);
 
   //! Makes a fault of each key that none of the calls above asked for.
   void CheckNoOthers();
--- a/src/protocol/model_call.cpp
+++ b/src/protocol/model_call.cpp
@@ -52,9 +52,8 @@
   if (!chat && !body.contains("prompt")) {
     return absl::InvalidArgumentError("\"prompt\" is missing");
   }
-  if (body.contains("max_tokens") &&
-      !(body["max_tokens"].is_number_integer() &&
-        body["max_tokens"].get<int64_t>() > 0)) {
+  if (body.contains("max_tokens") && !(body["max_tokens"].is_number_integer() &&
+                                       body["max_tokens"].get<int64_t>() > 0)) {
     return absl::InvalidArgumentError("\"max_tokens\" is not positive");
   }
   if (body.contains("stream") && !body["stream"].is_boolean()) {
@@ -98,9 +97,9 @@
     return "";
   }
   const json& choice = parsed["choices"][0];
-  const json& text = chat ? choice.value("delta", json::object())
-                                .value("content", json(""))
-                          : choice.value("text", json(""));
+  const json& text =
+      chat ? choice.value("delta", json::object()).value("content", json(""))
+           : choice.value("text", json(""));
   return text.is_string() ? text.get<std::string>() : "";
 }
 
@@ -116,15 +115,14 @@
   } else {
     choice["text"] = text;
   }
-  const json answer = {
-      {"id", id},
-      {"object", chat ? "chat.completion" : "text_completion"},
-      {"model", model},
-      {"choices", json::array({choice})},
-      {"usage",
-       {{"prompt_tokens", prompt_tokens},
-        {"completion_tokens", completion_tokens},
-        {"total_tokens", prompt_tokens + completion_tokens}}}};
+  const json answer = {{"id", id},
+                       {"object", chat ? "chat.completion" : "text_completion"},
+                       {"model", model},
+                       {"choices", json::array({choice})},
+                       {"usage",
+                        {{"prompt_tokens", prompt_tokens},
+                         {"completion_tokens", completion_tokens},
+                         {"total_tokens", prompt_tokens + completion_tokens}}}};
   return answer.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
--- a/src/protocol/orphan_report.h
+++ b/src/protocol/orphan_report.h
@@ -6,6 +6,7 @@
 
 #include <cereal/types/vector.hpp>
 
+#include "protocol/settle_request.h"
 #include "state/kept_share.h"
 
 namespace tamaracktrail {
@@ -14,12 +15,14 @@
   uint64_t holder = 0;
   uint64_t reporter = 0;
   std::vector<KeptShare> kept;
+  //! In the reporter's custody, whose entry is the exited one.
+  std::vector<SettleRequest> charges;
 
   friend bool operator==(const OrphanReport&, const OrphanReport&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(holder, reporter, kept);
+    archive(holder, reporter, kept, charges);
   }
 };
 
--- a/src/protocol/reservation_end.h
+++ b/src/protocol/reservation_end.h
@@ -17,7 +17,8 @@
   //! The attempt's claim, if any, was never dispatched.
   bool abandon = false;
 
-  friend bool operator==(const ReservationEnd&, const ReservationEnd&) = default;
+  friend bool operator==(const ReservationEnd&,
+                         const ReservationEnd&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/protocol/reservation_query.h
+++ b/src/protocol/reservation_query.h
@@ -12,7 +12,8 @@
 struct ReservationQuery {
   std::vector<uint64_t> attempts;
 
-  friend bool operator==(const ReservationQuery&, const ReservationQuery&) = default;
+  friend bool operator==(const ReservationQuery&,
+                         const ReservationQuery&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/protocol/reserve_request.h
+++ b/src/protocol/reserve_request.h
@@ -21,7 +21,8 @@
   //! Whether the request is non-repeatable.
   bool claim = false;
 
-  friend bool operator==(const ReserveRequest&, const ReserveRequest&) = default;
+  friend bool operator==(const ReserveRequest&,
+                         const ReserveRequest&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/state/charge.h
+++ b/src/state/charge.h
@@ -32,7 +32,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(organisation, key, holder, entry, attempt, service, endpoint, prompt_tokens, completion_tokens, tokens, config_version);
+    archive(organisation, key, holder, entry, attempt, service, endpoint,
+            prompt_tokens, completion_tokens, tokens, config_version);
   }
 };
 
--- a/src/state/control_fold.cpp
+++ b/src/state/control_fold.cpp
@@ -61,8 +61,8 @@
 
 template <class Archive>
 void ControlFold::serialize(Archive& archive) {
-  archive(clock_, loads_, version_, configuration_, published_, members_, contents_,
-          terms_);
+  archive(clock_, loads_, version_, configuration_, published_, members_,
+          contents_, terms_);
 }
 
 template void ControlFold::serialize(cereal::PortableBinaryOutputArchive&);
@@ -129,7 +129,8 @@
 }
 
 FoldVerdict ControlFold::On(const Term& record, const FoldContext& context) {
-  terms_[record.data_centre] = TermState{record.holder, context.offset, clock_.now()};
+  terms_[record.data_centre] =
+      TermState{record.holder, context.offset, clock_.now()};
   return FoldVerdict::kAccepted;
 }
 
--- a/src/state/control_snapshot.h
+++ b/src/state/control_snapshot.h
@@ -13,7 +13,8 @@
   uint64_t next_offset = 0;
   std::string state;
 
-  friend bool operator==(const ControlSnapshot&, const ControlSnapshot&) = default;
+  friend bool operator==(const ControlSnapshot&,
+                         const ControlSnapshot&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/state/digest.cpp
+++ b/src/state/digest.cpp
@@ -30,8 +30,8 @@
 
 std::string HmacSha256(const std::string& key, const std::string& data) {
   std::unique_ptr<GHmac, decltype(&g_hmac_unref)> mac(
-      g_hmac_new(G_CHECKSUM_SHA256,
-                 reinterpret_cast<const guchar*>(key.data()), key.size()),
+      g_hmac_new(G_CHECKSUM_SHA256, reinterpret_cast<const guchar*>(key.data()),
+                 key.size()),
       g_hmac_unref);
   g_hmac_update(mac.get(), reinterpret_cast<const guchar*>(data.data()),
                 static_cast<gssize>(data.size()));
--- a/src/state/ledger_fold.cpp
+++ b/src/state/ledger_fold.cpp
@@ -66,8 +66,8 @@
 
 template <class Archive>
 void LedgerFold::serialize(Archive& archive) {
-  archive(clock_, budgets_, keys_, top_up_ids_, abandoned_attempts_, voided_attempts_,
-          exited_);
+  archive(clock_, budgets_, keys_, top_up_ids_, abandoned_attempts_,
+          voided_attempts_, exited_, fenced_);
 }
 
 template void LedgerFold::serialize(cereal::PortableBinaryOutputArchive&);
@@ -127,12 +127,15 @@
   return FoldVerdict::kAccepted;
 }
 
-FoldVerdict LedgerFold::On(const Charge& record, const FoldContext&) {
+FoldVerdict LedgerFold::On(const Charge& record, const FoldContext& context) {
   const KeyId id = IdOf(record.organisation, record.key);
   KeyState state = Lookup(id);
   if (voided_attempts_.contains(record.attempt)) {
     return FoldVerdict::kLostRace;
   }
+  if (!Stands(record, context)) {
+    return FoldVerdict::kHolderExited;
+  }
   if (state.phase == KeyState::Phase::kCharged) {
     if (state.attempt != record.attempt && state.rival_attempt == 0) {
       keys_[id].rival_attempt = record.attempt;
@@ -148,6 +151,9 @@
   if (record.tokens > budget.Share(record.holder)) {
     return FoldVerdict::kExceedsShare;
   }
+  if (auto exited = exited_.find(record.holder); exited != exited_.end()) {
+    exited->second.erase(record.attempt);
+  }
   budget.AddToShare(record.holder, -record.tokens);
   budget.charged += record.tokens;
   budget.CheckInvariant();
@@ -213,7 +219,11 @@
 }
 
 FoldVerdict LedgerFold::On(const Release& record, const FoldContext&) {
-  exited_.insert(record.holder);
+  std::map<uint64_t, int64_t>& attempts = exited_[record.holder];
+  attempts.clear();
+  for (const KeptShare& it : record.kept) {
+    attempts[it.attempt] = it.tokens;
+  }
   for (const auto& [organisation, share] : SharesOf(record.holder)) {
     int64_t kept = 0;
     for (const KeptShare& it : record.kept) {
@@ -228,6 +238,21 @@
   return FoldVerdict::kAccepted;
 }
 
+FoldVerdict LedgerFold::On(const Fence& record, const FoldContext&) {
+  const bool first = fenced_.insert({record.holder, record.entry}).second;
+  return first ? FoldVerdict::kAccepted : FoldVerdict::kRepeat;
+}
+
+bool LedgerFold::Stands(const Charge& record,
+                        const FoldContext& context) const {
+  if (auto it = exited_.find(record.holder); it != exited_.end()) {
+    auto kept = it->second.find(record.attempt);
+    return kept != it->second.end() && record.tokens <= kept->second;
+  }
+  return context.writer == record.holder ||
+         !fenced_.contains({record.holder, record.entry});
+}
+
 FoldVerdict LedgerFold::On(const Void& record, const FoldContext&) {
   if (!voided_attempts_.try_emplace(record.attempt, now()).second) {
     return FoldVerdict::kRepeat;
--- a/src/state/ledger_fold.h
+++ b/src/state/ledger_fold.h
@@ -43,9 +43,7 @@
   //! forgotten it. `wall` is the caller's own clock.
   bool KeyTooOld(const std::string& key, Millis wall) const;
 
-  bool HolderExited(uint64_t holder) const {
-    return exited_.contains(holder);
-  }
+  bool HolderExited(uint64_t holder) const { return exited_.contains(holder); }
 
   //! Organisations whose budget has a share of `holder`, with its tokens.
   std::map<std::string, int64_t> SharesOf(uint64_t holder) const;
@@ -79,9 +77,12 @@
   FoldVerdict On(const Refusal& record, const FoldContext& context);
   FoldVerdict On(const Release& record, const FoldContext& context);
   FoldVerdict On(const Void& record, const FoldContext& context);
+  FoldVerdict On(const Fence& record, const FoldContext& context);
   template <class Other>
   FoldVerdict On(const Other& record, const FoldContext& context);
 
+  //! Whether a charge may still count under its holder's share.
+  bool Stands(const Charge& record, const FoldContext& context) const;
   static KeyId IdOf(const std::string& organisation, const std::string& key);
   bool Expired(const KeyState& state) const;
   KeyState Lookup(const KeyId& id) const;
@@ -93,7 +94,9 @@
   std::set<std::string> top_up_ids_;
   std::map<uint64_t, Millis> abandoned_attempts_;  //!< By attempt: fold time.
   std::map<uint64_t, Millis> voided_attempts_;     //!< By attempt: fold time.
-  std::set<uint64_t> exited_;
+  //! Released holders; by attempt, the tokens that others account for.
+  std::map<uint64_t, std::map<uint64_t, int64_t>> exited_;
+  std::set<std::pair<uint64_t, uint64_t>> fenced_;  //!< Holder and entry.
 };
 
 }  // namespace tamaracktrail
--- a/src/state/ledger_snapshot.h
+++ b/src/state/ledger_snapshot.h
@@ -14,7 +14,8 @@
   uint64_t next_offset = 0;
   std::string state;
 
-  friend bool operator==(const LedgerSnapshot&, const LedgerSnapshot&) = default;
+  friend bool operator==(const LedgerSnapshot&,
+                         const LedgerSnapshot&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/src/state/record.h
+++ b/src/state/record.h
@@ -12,6 +12,7 @@
 #include "state/crash.h"
 #include "state/draw.h"
 #include "state/exit.h"
+#include "state/fence.h"
 #include "state/join.h"
 #include "state/ledger_snapshot.h"
 #include "state/order.h"
@@ -51,7 +52,8 @@
                             Order,
                             ControlSnapshot,
                             Void,
-                            Acquit>;
+                            Acquit,
+                            Fence>;
 
 }  // namespace tamaracktrail
 
--- a/src/state/run.h
+++ b/src/state/run.h
@@ -24,7 +24,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(organisation, key, attempt, entry, service, endpoint, code, config_version);
+    archive(organisation, key, attempt, entry, service, endpoint, code,
+            config_version);
   }
 };
 
--- a/src/state/stream_view.h
+++ b/src/state/stream_view.h
@@ -22,12 +22,13 @@
 
 //! A pure function of the records of one stream.
 template <class F>
-concept FoldModel =
-    requires(F fold, const Record& record, const FoldContext& context) {
-      { fold.Apply(record, context) } -> std::same_as<FoldVerdict>;
-      typename F::Snapshot;
-      fold.Trim();
-    };
+concept FoldModel = requires(F fold,
+                             const Record& record,
+                             const FoldContext& context) {
+  { fold.Apply(record, context) } -> std::same_as<FoldVerdict>;
+  typename F::Snapshot;
+  fold.Trim();
+};
 
 //! Reads one stream into a fold: checks tags and chains, ignores repeated
 //! appends, and starts from a snapshot where the log no longer has the
@@ -117,8 +118,7 @@
     AppliedBatch out{entry.offset, *std::move(batch), {}};
     const FoldContext context{entry.offset, out.batch.writer, out.batch.wall};
     for (const Record& it : out.batch.records) {
-      const bool snapshot =
-          std::holds_alternative<typename Fold::Snapshot>(it);
+      const bool snapshot = std::holds_alternative<typename Fold::Snapshot>(it);
       out.verdicts.push_back(snapshot ? FoldVerdict::kAccepted
                                       : fold_.Apply(it, context));
     }
--- a/src/state/writer_chains.h
+++ b/src/state/writer_chains.h
@@ -54,9 +54,7 @@
     }
   };
 
-  bool TooOld(Millis wall) const {
-    return wall + kWriterWindow < clock_.now();
-  }
+  bool TooOld(Millis wall) const { return wall + kWriterWindow < clock_.now(); }
 
   FoldClock clock_;
   std::map<uint64_t, Head> heads_;
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/caller_stream.cpp
@@ -46,12 +46,12 @@
         }
       }),
       this);
-  signals_[1] = g_signal_connect(
-      message_, "wrote-body",
-      G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
-        static_cast<CallerStream*>(data)->written_ = true;
-      }),
-      this);
+  signals_[1] =
+      g_signal_connect(message_, "wrote-body",
+                       G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
+                         static_cast<CallerStream*>(data)->written_ = true;
+                       }),
+                       this);
   signals_[2] = g_signal_connect(
       message_, "finished", G_CALLBACK(+[](SoupServerMessage*, gpointer data) {
         auto* self = static_cast<CallerStream*>(data);
@@ -101,8 +101,8 @@
   }
   char buf = 0;
   // Bytes after the request are a further request: the caller is there.
-  const ssize_t n = recv(g_socket_get_fd(socket), &buf, 1,
-                         MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t n =
+      recv(g_socket_get_fd(socket), &buf, 1, MSG_PEEK | MSG_DONTWAIT);
   return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
@@ -160,8 +160,7 @@
   ended_ = true;
   pending_ += body.size();
   progress_at_ = MonotonicNow();
-  soup_server_message_set_status(message_, static_cast<guint>(status),
-                                 nullptr);
+  soup_server_message_set_status(message_, static_cast<guint>(status), nullptr);
   soup_server_message_set_response(message_, content_type.c_str(),
                                    SOUP_MEMORY_COPY, body.data(), body.size());
   soup_server_message_unpause(message_);
--- a/src/transport/caller_stream.h
+++ b/src/transport/caller_stream.h
@@ -18,8 +18,8 @@
 class CallerStream {
  public:
   struct Handler {
-    std::function<void()> on_gone;      //!< The caller closed its connection.
-    std::function<void()> on_drained;   //!< All queued bytes are written.
+    std::function<void()> on_gone;     //!< The caller closed its connection.
+    std::function<void()> on_drained;  //!< All queued bytes are written.
     //! The exchange is over; `written` tells whether the whole answer was
     //! handed to the network.
     std::function<void(bool written)> on_finished;
@@ -42,12 +42,14 @@
   void EndStream();
 
   //! Sends a whole answer. Precondition: nothing was sent yet.
-  void SendWhole(int status, const std::string& content_type,
+  void SendWhole(int status,
+                 const std::string& content_type,
                  const std::string& body);
 
   //! Sends an error: as a whole answer, or as an event where the stream has
   //! started.
-  void SendError(ResultCode code, RunState run_state,
+  void SendError(ResultCode code,
+                 RunState run_state,
                  const std::string& detail);
 
   //! Closes the connection without the rest of the answer.
--- a/src/transport/coordination_task.cpp
+++ b/src/transport/coordination_task.cpp
@@ -47,17 +47,17 @@
     list_ = std::make_unique<HttpInstanceList>(http_.get(), options_.list_url);
     mesh_ = std::make_unique<PeerMesh>(
         options_.self, options_.coordinator.data_centre, &frame_codec_,
-        PeerMesh::Handler{
-            [this](uint64_t from, const PeerMessage& message) {
-              const Millis now = MonotonicNow();
-              coordinator_->OnMessage(now, WallNow(), from, message);
-              Flush(now);
-            },
-            [this](uint64_t incarnation, const std::string& why) {
-              const Millis now = MonotonicNow();
-              coordinator_->OnExitEvidence(now, incarnation, why);
-              Flush(now);
-            }});
+        PeerMesh::Handler{[this](uint64_t from, const PeerMessage& message) {
+                            const Millis now = MonotonicNow();
+                            coordinator_->OnMessage(now, WallNow(), from,
+                                                    message);
+                            Flush(now);
+                          },
+                          [this](uint64_t incarnation, const std::string& why) {
+                            const Millis now = MonotonicNow();
+                            coordinator_->OnExitEvidence(now, incarnation, why);
+                            Flush(now);
+                          }});
     status = mesh_->Listen();
     if (!status.ok()) {
       return;
@@ -286,9 +286,9 @@
     return;  // Stopped.
   }
   const CoordinatorStatus status = coordinator_->Status(now);
-  const auto live = std::count_if(
-      status.peers.begin(), status.peers.end(),
-      [](const auto& it) { return it.state == "live"; });
+  const auto live =
+      std::count_if(status.peers.begin(), status.peers.end(),
+                    [](const auto& it) { return it.state == "live"; });
   metrics_->Set("tamaracktrail_config_version",
                 static_cast<double>(status.config_version));
   metrics_->Set("tamaracktrail_live_peers", static_cast<double>(live));
--- a/src/transport/endpoint_prober.h
+++ b/src/transport/endpoint_prober.h
@@ -18,7 +18,7 @@
  public:
   using OnSeen = std::function<void(const EndpointObservation&)>;
 
-  static constexpr Millis kPeriod{450};   //!< Between probes of one endpoint.
+  static constexpr Millis kPeriod{450};  //!< Between probes of one endpoint.
   static constexpr Millis kTimeout{1000};
 
   //! Precondition: `client` outlives the prober.
--- a/src/transport/entry_call.h
+++ b/src/transport/entry_call.h
@@ -21,20 +21,21 @@
   std::unique_ptr<UpstreamCall> upstream;
 
   bool model_call = true;
-  ModelCall model;          //!< For a model call.
-  std::string method;       //!< For a plain call.
-  std::string path;         //!< At the endpoint.
+  ModelCall model;     //!< For a model call.
+  std::string method;  //!< For a plain call.
+  std::string path;    //!< At the endpoint.
   std::string body;
   std::string content_type;
   int priority = 5;
 
   Millis since;
   Millis first_chunk_at;
-  std::string text;         //!< Collected answer of a call that is not streamed.
-  std::string final_event;  //!< Usage event, held back until the charge is safe.
+  std::string text;  //!< Collected answer of a call that is not streamed.
+  std::string
+      final_event;  //!< Usage event, held back until the charge is safe.
   UpstreamEvent end;
   std::string busy_endpoint;  //!< Counted as in flight in the endpoint table.
-  Charge charge;            //!< Of the latest settlement.
+  Charge charge;              //!< Of the latest settlement.
   bool settled = false;
   bool queued = true;
 };
--- a/src/transport/entry_limits.h
+++ b/src/transport/entry_limits.h
@@ -17,7 +17,7 @@
   size_t queue_length = 256;
   size_t queue_per_organisation = 128;
   size_t stream_buffer_bytes = 256 * 1024;  //!< Unread bytes of one stream.
-  Millis slow_reader{15000};   //!< Longest time without a byte read.
+  Millis slow_reader{15000};  //!< Longest time without a byte read.
   Millis reserve_timeout{4500};
   Millis idle_timeout{30000};  //!< Longest silence of an endpoint.
   double retry_ratio = 0.1;
--- a/src/transport/entry_task.cpp
+++ b/src/transport/entry_task.cpp
@@ -70,9 +70,8 @@
 
 void LimitBody(SoupServerMessage* message, size_t limit) {
   auto* left = new size_t(limit);
-  g_object_set_data_full(G_OBJECT(message), "body-left", left, [](gpointer it) {
-    delete static_cast<size_t*>(it);
-  });
+  g_object_set_data_full(G_OBJECT(message), "body-left", left,
+                         [](gpointer it) { delete static_cast<size_t*>(it); });
   g_signal_connect(
       message, "got-chunk",
       G_CALLBACK(+[](SoupServerMessage* it, GBytes* chunk, gpointer data) {
@@ -153,9 +152,8 @@
   soup_server_add_handler(
       server_, nullptr,
       [](SoupServer* server, SoupServerMessage* message, const char* path,
-         GHashTable* query, gpointer data) {
-        OnRequest(server, message, path, query, data);
-      },
+         GHashTable* query,
+         gpointer data) { OnRequest(server, message, path, query, data); },
       this, nullptr);
   GSocketConnectable* parsed =
       g_network_address_parse(options_.listen.c_str(), 0, nullptr);
@@ -301,8 +299,7 @@
   const std::string header = HeaderOf(message, "Authorization");
   Caller caller;
   if (header.starts_with(prefix)) {
-    caller.organisation =
-        catalog_->Authenticate(header.substr(prefix.size()));
+    caller.organisation = catalog_->Authenticate(header.substr(prefix.size()));
   }
   if (caller.organisation == nullptr) {
     Refuse(message, ResultCode::kUnauthorized, "");
@@ -425,34 +422,32 @@
   spec.idle_timeout = options_.limits.idle_timeout;
   call->attempt = attempt;
   call->since = now;
-  call->priority =
-      std::clamp(caller.organisation->priority + service.priority -
-                     kNeutralPriority,
-                 0, kLowestPriority);
-  const AdmissionQueue::Item item{attempt,        service.name,
-                                  spec.organisation, call->priority,
-                                  spec.worst_case, now,
-                                  now + service.deadline};
+  call->priority = std::clamp(
+      caller.organisation->priority + service.priority - kNeutralPriority, 0,
+      kLowestPriority);
+  const AdmissionQueue::Item item{
+      attempt,         service.name, spec.organisation,     call->priority,
+      spec.worst_case, now,          now + service.deadline};
   call->flow = std::make_unique<RequestFlow>(std::move(spec), &retries_);
   call->caller = std::make_unique<CallerStream>(
       message,
-      CallerStream::Handler{
-          [this, attempt] {
-            if (EntryCall* it = Find(attempt)) {
-              Perform(*it, it->flow->OnCallerGone(MonotonicNow(),
-                                                  ResultCode::kCallerGone));
-              it->caller->Abort();
-            }
-          },
-          [this, attempt] {
-            EntryCall* it = Find(attempt);
-            if (it != nullptr && it->upstream != nullptr) {
-              it->upstream->SetPaused(false);
-            }
-          },
-          [this, attempt](bool written) {
-            OnCallerFinished(attempt, written);
-          }});
+      CallerStream::Handler{[this, attempt] {
+                              if (EntryCall* it = Find(attempt)) {
+                                Perform(*it, it->flow->OnCallerGone(
+                                                 MonotonicNow(),
+                                                 ResultCode::kCallerGone));
+                                it->caller->Abort();
+                              }
+                            },
+                            [this, attempt] {
+                              EntryCall* it = Find(attempt);
+                              if (it != nullptr && it->upstream != nullptr) {
+                                it->upstream->SetPaused(false);
+                              }
+                            },
+                            [this, attempt](bool written) {
+                              OnCallerFinished(attempt, written);
+                            }});
   call->caller->SetHeader("Idempotency-Key", caller.key);
   EntryCall& open = *call;
   calls_[attempt] = std::move(call);
@@ -486,8 +481,7 @@
 void EntryTask::Pump(Millis now) {
   for (const std::string& service : queue_.Services()) {
     while (HasRoom(now, service)) {
-      const std::optional<AdmissionQueue::Item> item =
-          queue_.Pop(now, service);
+      const std::optional<AdmissionQueue::Item> item = queue_.Pop(now, service);
       if (!item.has_value()) {
         break;
       }
@@ -651,8 +645,8 @@
   queue_.Remove(call.attempt);
   call.upstream.reset();
   Release(MonotonicNow(), call, EndpointTable::Finish::kRefused);
-  metrics_->Count(absl::StrCat("tamaracktrail_requests_total{result=\"",
-                               info.name, "\"}"));
+  metrics_->Count(
+      absl::StrCat("tamaracktrail_requests_total{result=\"", info.name, "\"}"));
   metrics_->Observe("tamaracktrail_request_ms",
                     static_cast<double>(took.count()));
   LOG(INFO) << "event=request organisation=" << spec.organisation
@@ -674,10 +668,10 @@
 
 void EntryTask::SendAnswer(EntryCall& call) {
   if (!call.model_call) {
-    call.caller->SendWhole(call.end.status,
-                           call.content_type.empty() ? "application/json"
-                                                     : call.content_type,
-                           call.end.data);
+    call.caller->SendWhole(
+        call.end.status,
+        call.content_type.empty() ? "application/json" : call.content_type,
+        call.end.data);
     return;
   }
   if (call.model.stream) {
@@ -745,8 +739,8 @@
     coordination_->ReportContentOk(attempt, call->flow->spec().content);
   }
   if (!call->flow->done()) {
-    Perform(*call, call->flow->OnCallerGone(MonotonicNow(),
-                                            ResultCode::kCallerGone));
+    Perform(*call,
+            call->flow->OnCallerGone(MonotonicNow(), ResultCode::kCallerGone));
   }
   if (call->flow->done()) {
     finished_.push_back(std::move(calls_[attempt]));
@@ -806,8 +800,7 @@
   request.url = "http://" + spec->address + "/orders";
   request.body = nlohmann::json{{"action", notice.order.action},
                                 {"target", notice.order.target},
-                                {"fencing_number",
-                                 notice.order.fencing_number}}
+                                {"fencing_number", notice.order.fencing_number}}
                      .dump();
   LOG(INFO) << "event=order endpoint=" << notice.order.endpoint
             << " action=" << notice.order.action
@@ -864,9 +857,8 @@
       Perform(*call, call->flow->OnTick(now));
     }
     const CallerStream& caller = *call->caller;
-    const bool slow =
-        caller.pending() > 0 &&
-        now >= caller.progress_at() + options_.limits.slow_reader;
+    const bool slow = caller.pending() > 0 &&
+                      now >= caller.progress_at() + options_.limits.slow_reader;
     if (slow) {
       Perform(*call, call->flow->OnCallerGone(now, ResultCode::kSlowReader));
       call->caller->Abort();
@@ -898,8 +890,8 @@
     for (const auto& [name, placement] : catalog_->placements) {
       // A service whose endpoints have no room left wants one copy more.
       const bool full = endpoints_.Room(now, placement.service) == 0;
-      const auto copies = std::count_if(
-          states.begin(), states.end(), [&](const auto& it) {
+      const auto copies =
+          std::count_if(states.begin(), states.end(), [&](const auto& it) {
             return it.service == placement.service &&
                    std::find(it.loaded.begin(), it.loaded.end(),
                              placement.target) != it.loaded.end();
--- a/src/transport/entry_task.h
+++ b/src/transport/entry_task.h
@@ -41,7 +41,7 @@
     std::string private_key;  //!< PEM file.
     EntryLimits limits;
     EndpointTable::Options endpoints;
-    uint64_t seed = 0;        //!< Of the random choices.
+    uint64_t seed = 0;  //!< Of the random choices.
   };
 
   //! Precondition: `metrics` outlives the task.
@@ -73,8 +73,11 @@
     std::string key;
   };
 
-  static void OnRequest(SoupServer* server, SoupServerMessage* message,
-                        const char* path, void* query, void* data);
+  static void OnRequest(SoupServer* server,
+                        SoupServerMessage* message,
+                        const char* path,
+                        void* query,
+                        void* data);
   void Route(SoupServerMessage* message, const std::string& path);
   void ServeStatus(SoupServerMessage* message);
   void ServeModels(SoupServerMessage* message);
@@ -82,10 +85,13 @@
   void ServePlainCall(SoupServerMessage* message, const std::string& path);
   std::optional<Caller> Identify(SoupServerMessage* message,
                                  const std::string& body);
-  void Refuse(SoupServerMessage* message, ResultCode code,
+  void Refuse(SoupServerMessage* message,
+              ResultCode code,
               const std::string& detail);
-  void Admit(SoupServerMessage* message, const Caller& caller,
-             const ServiceSpec& service, std::unique_ptr<EntryCall> call,
+  void Admit(SoupServerMessage* message,
+             const Caller& caller,
+             const ServiceSpec& service,
+             std::unique_ptr<EntryCall> call,
              FlowSpec spec);
   void Pump(Millis now);
   bool HasRoom(Millis now, const std::string& service) const;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -71,8 +71,7 @@
       soup_message_get_response_headers(exchange->message);
   const char* type = soup_message_headers_get_one(headers, "Content-Type");
   reply.content_type = type == nullptr ? "" : type;
-  reply.not_run =
-      soup_message_headers_get_one(headers, "X-Not-Run") != nullptr;
+  reply.not_run = soup_message_headers_get_one(headers, "X-Not-Run") != nullptr;
   exchange->done(std::move(reply));
 }
 
--- a/src/transport/http_log_service.h
+++ b/src/transport/http_log_service.h
@@ -18,9 +18,13 @@
   HttpLogService(HttpClient* client, std::string url)
       : client_(client), url_(std::move(url)) {}
 
-  void Append(const std::string& stream, const std::string& payload,
+  void Append(const std::string& stream,
+              const std::string& payload,
               AppendDone done);
-  void Read(const std::string& stream, uint64_t from, size_t most, Millis wait,
+  void Read(const std::string& stream,
+            uint64_t from,
+            size_t most,
+            Millis wait,
             ReadDone done);
 
  private:
--- a/src/transport/log_service.h
+++ b/src/transport/log_service.h
@@ -25,8 +25,8 @@
 //! The platform's append-only log. docs/INTERFACES.md states what each call
 //! must promise.
 template <class L>
-concept LogService = requires(L log, const std::string& text, AppendDone append,
-                              ReadDone read) {
+concept LogService =
+    requires(L log, const std::string& text, AppendDone append, ReadDone read) {
   //! Appends one entry and returns its offset. After an error the entry may or
   //! may not be in the stream.
   log.Append(text, text, append);
--- a/src/transport/metrics.cpp
+++ b/src/transport/metrics.cpp
@@ -14,11 +14,9 @@
 namespace acc = boost::accumulators;
 
 struct Metrics::Summary {
-  using Moments =
-      acc::accumulator_set<double,
-                           acc::stats<acc::tag::count,
-                                      acc::tag::sum,
-                                      acc::tag::max>>;
+  using Moments = acc::accumulator_set<
+      double,
+      acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max>>;
   using Quantile =
       acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
 
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -103,7 +103,7 @@
   g_socket_set_blocking(udp_, FALSE);
   udp_source_ = g_socket_create_source(udp_, G_IO_IN, nullptr);
   const GSocketSourceFunc on_ready = [](GSocket*, GIOCondition,
-                                         gpointer data) -> gboolean {
+                                        gpointer data) -> gboolean {
     static_cast<PeerMesh*>(data)->ReadDatagrams();
     return G_SOURCE_CONTINUE;
   };
@@ -248,8 +248,8 @@
         GSocketConnection* connection = g_socket_client_connect_finish(
             G_SOCKET_CLIENT(client), result, &ec);
         const bool refused =
-            ec != nullptr && g_error_matches(ec, G_IO_ERROR,
-                                             G_IO_ERROR_CONNECTION_REFUSED);
+            ec != nullptr &&
+            g_error_matches(ec, G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
         g_clear_error(&ec);
         PeerMesh* mesh = *state->mesh;
         if (mesh != nullptr) {
@@ -278,8 +278,8 @@
     }
     return;
   }
-  it->second.connection = std::make_unique<PeerConnection>(
-      G_SOCKET_CONNECTION(connection), codec_);
+  it->second.connection =
+      std::make_unique<PeerConnection>(G_SOCKET_CONNECTION(connection), codec_);
   it->second.connection->Send(Hello{self_, data_centre_});
   it->second.connection->Start(
       [this, peer](const PeerMessage& message) { OnGreeting(peer, message); },
--- a/src/transport/peer_mesh.h
+++ b/src/transport/peer_mesh.h
@@ -49,7 +49,9 @@
   };
 
   //! Precondition: `codec` outlives the mesh.
-  PeerMesh(InstanceId self, std::string data_centre, const FrameCodec* codec,
+  PeerMesh(InstanceId self,
+           std::string data_centre,
+           const FrameCodec* codec,
            Handler handler);
   ~PeerMesh();
 
--- a/src/transport/platform_services.h
+++ b/src/transport/platform_services.h
@@ -26,13 +26,18 @@
 //! The platform's list of instances. It may lag, miss instances and name some
 //! that have gone.
 template <class L>
-concept InstanceList = requires(L list, ListDone done) { list.Fetch(done); };
+concept InstanceList = requires(L list, ListDone done) {
+  list.Fetch(done);
+};
 
-using WeightsDone = std::function<void(absl::StatusOr<std::vector<std::string>>)>;
+using WeightsDone =
+    std::function<void(absl::StatusOr<std::vector<std::string>>)>;
 
 //! The platform's weight store: the models, adapters and versions it has.
 template <class W>
-concept WeightStore = requires(W store, WeightsDone done) { store.List(done); };
+concept WeightStore = requires(W store, WeightsDone done) {
+  store.List(done);
+};
 
 }  // namespace tamaracktrail
 
--- a/src/transport/task.cpp
+++ b/src/transport/task.cpp
@@ -31,8 +31,7 @@
 }  // namespace
 
 Task::Task()
-    : context_(g_main_context_new()),
-      loop_(g_main_loop_new(context_, FALSE)) {}
+    : context_(g_main_context_new()), loop_(g_main_loop_new(context_, FALSE)) {}
 
 Task::~Task() {
   CHECK(!thread_.joinable()) << "a task was destroyed while it runs";
@@ -77,8 +76,7 @@
 }
 
 void Task::Every(Millis period, Message tick) {
-  GSource* source =
-      g_timeout_source_new(static_cast<guint>(period.count()));
+  GSource* source = g_timeout_source_new(static_cast<guint>(period.count()));
   g_source_set_callback(source, RunAgain, new Message(std::move(tick)),
                         Destroy);
   g_source_attach(source, context_);
--- a/src/transport/upstream_call.cpp
+++ b/src/transport/upstream_call.cpp
@@ -69,8 +69,8 @@
 
   void Fail() {
     UpstreamEvent event;
-    event.kind = sent ? UpstreamEvent::Kind::kCut
-                      : UpstreamEvent::Kind::kConnectFailed;
+    event.kind =
+        sent ? UpstreamEvent::Kind::kCut : UpstreamEvent::Kind::kConnectFailed;
     End(std::move(event));
   }
 
@@ -278,8 +278,8 @@
                      static_cast<State*>(data)->sent = true;
                    }),
                    state_.get());
-  state_->timer = g_timeout_source_new(
-      static_cast<guint>(request.connect_timeout.count()));
+  state_->timer =
+      g_timeout_source_new(static_cast<guint>(request.connect_timeout.count()));
   const GSourceFunc on_timeout = [](gpointer data) -> gboolean {
     auto* state = static_cast<State*>(data);
     if (!state->sent) {
--- a/src/transport/upstream_call.h
+++ b/src/transport/upstream_call.h
@@ -24,8 +24,8 @@
     std::string attempt_id;
     int priority = 5;
     uint64_t resume_from = 0;
-    bool streamed = true;      //!< The answer is a stream of events.
-    bool may_repeat = true;    //!< A kept-alive connection may be used.
+    bool streamed = true;    //!< The answer is a stream of events.
+    bool may_repeat = true;  //!< A kept-alive connection may be used.
     Millis connect_timeout{2000};
   };
 
--- a/tests/soak/fleet_run.cpp
+++ b/tests/soak/fleet_run.cpp
@@ -64,8 +64,7 @@
     return std::uniform_int_distribution<int64_t>(low, high)(fleet_.random());
   }
   bool Chance(double part) {
-    return std::uniform_real_distribution<double>(0, 1)(fleet_.random()) <
-           part;
+    return std::uniform_real_distribution<double>(0, 1)(fleet_.random()) < part;
   }
   size_t AnyInstance() {
     return static_cast<size_t>(
@@ -116,7 +115,9 @@
     }
   }
 
-  void For(const char* kind, Millis time, std::function<void()> start,
+  void For(const char* kind,
+           Millis time,
+           std::function<void()> start,
            std::function<void()> end) {
     ++report_.faults[kind];
     start();
@@ -139,36 +140,42 @@
     const int centre = static_cast<int>(Draw(0, 1));
     switch (Draw(0, 8)) {
       case 0:
-        return For("kill", time, [=, this] { fleet_.Kill(a); },
-                   [=, this] { fleet_.Restart(a); });
+        return For(
+            "kill", time, [=, this] { fleet_.Kill(a); },
+            [=, this] { fleet_.Restart(a); });
       case 1:
-        return For("pause", time, [=, this] { fleet_.Pause(a); },
-                   [=, this] { fleet_.Wake(a); });
+        return For(
+            "pause", time, [=, this] { fleet_.Pause(a); },
+            [=, this] { fleet_.Wake(a); });
       case 2:
-        return For("log_down", time, [=, this] { fleet_.SetLogDown(true); },
-                   [=, this] { fleet_.SetLogDown(false); });
+        return For(
+            "log_down", time, [=, this] { fleet_.SetLogDown(true); },
+            [=, this] { fleet_.SetLogDown(false); });
       case 3:
-        return For("cut_from_log", time,
-                   [=, this] { fleet_.CutFromLog(centre, true); },
-                   [=, this] { fleet_.CutFromLog(centre, false); });
+        return For(
+            "cut_from_log", time,
+            [=, this] { fleet_.CutFromLog(centre, true); },
+            [=, this] { fleet_.CutFromLog(centre, false); });
       case 4:
-        return For("lost_answers", time,
-                   [=, this] { fleet_.LoseAnswers(0.5); },
-                   [=, this] { fleet_.LoseAnswers(0); });
+        return For(
+            "lost_answers", time, [=, this] { fleet_.LoseAnswers(0.5); },
+            [=, this] { fleet_.LoseAnswers(0); });
       case 5:
-        return For("lost_messages", time,
-                   [=, this] { fleet_.LoseMessages(0.3); },
-                   [=, this] { fleet_.LoseMessages(0); });
+        return For(
+            "lost_messages", time, [=, this] { fleet_.LoseMessages(0.3); },
+            [=, this] { fleet_.LoseMessages(0); });
       case 6:
-        return For("cut_one_way", time,
-                   [=, this] { fleet_.CutLink(a, b, true); },
-                   [=, this] { fleet_.CutLink(a, b, false); });
+        return For(
+            "cut_one_way", time, [=, this] { fleet_.CutLink(a, b, true); },
+            [=, this] { fleet_.CutLink(a, b, false); });
       case 7:
-        return For("cut_calls", time, [=, this] { fleet_.CutCalls(0.4); },
-                   [=, this] { fleet_.CutCalls(0); });
+        return For(
+            "cut_calls", time, [=, this] { fleet_.CutCalls(0.4); },
+            [=, this] { fleet_.CutCalls(0); });
       default:
-        return For("drain", time, [=, this] { fleet_.Drain(a); },
-                   [=, this] { fleet_.Restart(a); });
+        return For(
+            "drain", time, [=, this] { fleet_.Drain(a); },
+            [=, this] { fleet_.Restart(a); });
     }
   }
 
@@ -193,10 +200,10 @@
       const bool settled = status.backlog == 0 &&
                            status.charges_in_custody == 0 && status.joined;
       if (!settled && report_.violation.empty()) {
-        report_.violation = absl::StrCat(
-            "instance ", i, " did not settle: backlog ", status.backlog,
-            ", custody ", status.charges_in_custody, ", joined ",
-            status.joined);
+        report_.violation =
+            absl::StrCat("instance ", i, " did not settle: backlog ",
+                         status.backlog, ", custody ",
+                         status.charges_in_custody, ", joined ", status.joined);
       }
     }
   }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -15,9 +15,9 @@
 
 }  // namespace
 
-//! soak SECONDS [SEED [KEY]]: runs seeds from SEED on until SECONDS have passed, at
-//! least one. Prints each seed, then the sums. With KEY only SEED is run, and
-//! what the log says of the key is shown. Exit code 1 on a violation.
+//! soak SECONDS [SEED [KEY]]: runs seeds from SEED on until SECONDS have
+//! passed, at least one. Prints each seed, then the sums. With KEY only SEED is
+//! run, and what the log says of the key is shown. Exit code 1 on a violation.
 int main(int argc, char** argv) {
   FLAGS_logtostderr = true;
   FLAGS_minloglevel = google::GLOG_WARNING;
--- a/tests/state/ledger_fold_test.cpp
+++ b/tests/state/ledger_fold_test.cpp
@@ -14,8 +14,10 @@
     return fold_.Apply(record, FoldContext{++offset_, writer, wall_});
   }
 
-  static Charge MakeCharge(const std::string& key, int64_t tokens,
-                           uint64_t attempt, uint64_t holder = kHolder) {
+  static Charge MakeCharge(const std::string& key,
+                           int64_t tokens,
+                           uint64_t attempt,
+                           uint64_t holder = kHolder) {
     Charge charge;
     charge.organisation = "org";
     charge.key = key;
--- a/tests/state/stream_view_test.cpp
+++ b/tests/state/stream_view_test.cpp
@@ -11,8 +11,11 @@
 
 class StreamViewTest : public testing::Test {
  protected:
-  LogEntry Entry(uint64_t offset, uint64_t sequence, const std::string& previous,
-                 std::vector<Record> records, uint64_t writer = 7) {
+  LogEntry Entry(uint64_t offset,
+                 uint64_t sequence,
+                 const std::string& previous,
+                 std::vector<Record> records,
+                 uint64_t writer = 7) {
     const Batch batch{writer, sequence, previous, Millis(1000),
                       std::move(records)};
     return {offset, codec_.Encode(batch)};
--- a/tests/support/event_queue.h
+++ b/tests/support/event_queue.h
@@ -16,8 +16,7 @@
   Millis now() const { return now_; }
 
   void At(Millis time, std::function<void()> event) {
-    events_.emplace(std::pair(std::max(time, now_), next_++),
-                    std::move(event));
+    events_.emplace(std::pair(std::max(time, now_), next_++), std::move(event));
   }
   void After(Millis delay, std::function<void()> event) {
     At(now_ + delay, std::move(event));
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -139,8 +139,8 @@
         On(
             to,
             [this, heartbeat = heartbeat](Node& it) {
-              it.coordinator->OnMessage(
-                  now(), Wall(), heartbeat.from.incarnation, heartbeat);
+              it.coordinator->OnMessage(now(), Wall(),
+                                        heartbeat.from.incarnation, heartbeat);
             },
             Millis(Random(1, 4)));
       }
@@ -157,16 +157,17 @@
 
 void FakeFleet::Send(size_t from, const Outbox::Letter& letter) {
   for (size_t to = 0; to < nodes_.size(); ++to) {
-    const bool lost =
-        cut_links_.contains({from, to}) || Chance(lose_messages_);
+    const bool lost = cut_links_.contains({from, to}) || Chance(lose_messages_);
     if (nodes_[to].incarnation == letter.to && nodes_[to].alive && !lost) {
       const uint64_t sender = nodes_[from].incarnation;
+      Millis& at = delivered_at_[{from, to}];
+      at = std::max(at, now() + Millis(Random(1, 3)));
       On(
           to,
           [this, sender, message = letter.message](Node& it) {
             it.coordinator->OnMessage(now(), Wall(), sender, message);
           },
-          Millis(Random(1, 3)));
+          at - now());
     }
   }
 }
@@ -221,8 +222,8 @@
     for (const Node& it : nodes_) {
       // A connection is refused, or answered by another incarnation; a paused
       // or cut-off process gives no answer.
-      const bool cut = cut_links_.contains(
-          {i, static_cast<size_t>(&it - nodes_.data())});
+      const bool cut =
+          cut_links_.contains({i, static_cast<size_t>(&it - nodes_.data())});
       const bool gone = !it.alive || it.incarnation != incarnation;
       if (it.address == address && gone && !it.paused && !cut) {
         node.coordinator->OnExitEvidence(now(), incarnation, "refused");
@@ -370,9 +371,8 @@
 }
 
 void FakeFleet::TopUpBudget(const std::string& organisation, int64_t tokens) {
-  const uint32_t shard =
-      static_cast<uint32_t>(StableHash(organisation) %
-                            options_.coordinator.shards);
+  const uint32_t shard = static_cast<uint32_t>(StableHash(organisation) %
+                                               options_.coordinator.shards);
   Operate(LedgerShard::StreamName(shard),
           TopUp{organisation, Hex(random_()), tokens, "test"});
 }
@@ -480,9 +480,8 @@
 // Judgement.
 
 LedgerFold FakeFleet::Observe(const std::string& organisation) const {
-  const uint32_t shard =
-      static_cast<uint32_t>(StableHash(organisation) %
-                            options_.coordinator.shards);
+  const uint32_t shard = static_cast<uint32_t>(StableHash(organisation) %
+                                               options_.coordinator.shards);
   StreamView<LedgerFold> view(
       &codec_, LedgerFold(options_.coordinator.ledger.key_window));
   auto it = log_.streams().find(LedgerShard::StreamName(shard));
@@ -521,10 +520,10 @@
   }
   for (const auto& [attempt, it] : told_) {
     if (it.key == key) {
-      lines.push_back(absl::StrCat(
-          "attempt=", Hex(attempt), " done=", it.done,
-          " code=", static_cast<int>(it.code),
-          " run=", RunStateName(it.run_state), " runs=", it.runs));
+      lines.push_back(absl::StrCat("attempt=", Hex(attempt), " done=", it.done,
+                                   " code=", static_cast<int>(it.code),
+                                   " run=", RunStateName(it.run_state),
+                                   " runs=", it.runs));
     }
   }
   return lines;
@@ -569,8 +568,8 @@
     lost |= it->lost;
   }
   if (!tries.front()->repeatable && runs > 1) {
-    out.violation = absl::StrCat("non-repeatable key ", key, " ran ", runs,
-                                 " times");
+    out.violation =
+        absl::StrCat("non-repeatable key ", key, " ran ", runs, " times");
   }
   if (charged && runs == 0) {
     out.violation = absl::StrCat("key ", key, " was charged and did not run");
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -45,7 +45,8 @@
     size_t entry = 0;
     bool false_refusal = false;
     bool settling = false;  //!< The charge was handed over.
-    //! All that held the charge, or its void, were killed before the log had it.
+    //! All that held the charge, or its void, were killed before the log had
+    //! it.
     bool lost = false;
   };
 
@@ -85,8 +86,11 @@
 
   //! Sends a request to an instance; returns its attempt, 0 where the instance
   //! does not take it.
-  uint64_t Call(size_t instance, const std::string& organisation,
-                const std::string& key, int64_t worst_case, bool repeatable);
+  uint64_t Call(size_t instance,
+                const std::string& organisation,
+                const std::string& key,
+                int64_t worst_case,
+                bool repeatable);
 
   const std::map<uint64_t, Told>& told() const { return told_; }
   const FakeLog& log() const { return log_; }
@@ -142,7 +146,8 @@
   void RunCall(size_t i, uint64_t attempt, int64_t worst_case);
   void MarkLost(size_t killed);
   static void JudgeKey(const std::string& key,
-                       const std::vector<const Told*>& tries, bool charged,
+                       const std::vector<const Told*>& tries,
+                       bool charged,
                        Judgement& out);
   bool LogReachable(const Node& node) const;
   int64_t Random(int64_t low, int64_t high);
@@ -158,6 +163,8 @@
   std::map<uint64_t, Told> told_;
   std::set<int> cut_centres_;
   std::set<std::pair<size_t, size_t>> cut_links_;
+  //! Time of the last delivery; a connection keeps its order.
+  std::map<std::pair<size_t, size_t>, Millis> delivered_at_;
   bool log_down_ = false;
   double lose_answers_ = 0;
   double lose_messages_ = 0;
--- a/tests/support/fake_log.h
+++ b/tests/support/fake_log.h
@@ -23,7 +23,8 @@
   }
 
   //! Entries from an offset, or from the oldest that is kept.
-  std::vector<LogEntry> Read(const std::string& stream, uint64_t from,
+  std::vector<LogEntry> Read(const std::string& stream,
+                             uint64_t from,
                              size_t most) const {
     auto it = streams_.find(stream);
     if (it == streams_.end()) {
--- a/tests/support/stand_in_engine.cpp
+++ b/tests/support/stand_in_engine.cpp
@@ -240,16 +240,14 @@
 }
 
 void StandInEngine::SendEnd(Stream& stream) {
-  const json usage = {
-      {"choices", json::array()},
-      {"usage",
-       {{"prompt_tokens", PromptTokens(stream.prompt)},
-        {"completion_tokens", stream.words}}}};
+  const json usage = {{"choices", json::array()},
+                      {"usage",
+                       {{"prompt_tokens", PromptTokens(stream.prompt)},
+                        {"completion_tokens", stream.words}}}};
   const std::string event =
-      absl::StrCat("id: ", stream.attempt, ":", stream.next, "\ndata: ",
-                   usage.dump(), "\n\ndata: [DONE]\n\n");
-  SoupMessageBody* body =
-      soup_server_message_get_response_body(stream.message);
+      absl::StrCat("id: ", stream.attempt, ":", stream.next,
+                   "\ndata: ", usage.dump(), "\n\ndata: [DONE]\n\n");
+  SoupMessageBody* body = soup_server_message_get_response_body(stream.message);
   soup_message_body_append(body, SOUP_MEMORY_COPY, event.data(), event.size());
   soup_message_body_complete(body);
   soup_server_message_unpause(stream.message);
--- a/tests/support/stand_in_engine.h
+++ b/tests/support/stand_in_engine.h
@@ -33,7 +33,8 @@
  private:
   struct Stream;
 
-  void OnRequest(SoupServerMessage* message, const std::string& path,
+  void OnRequest(SoupServerMessage* message,
+                 const std::string& path,
                  const Query& query) override;
   void OnControl() override;
   void Health(SoupServerMessage* message);
--- a/tests/support/stand_in_log.cpp
+++ b/tests/support/stand_in_log.cpp
@@ -24,8 +24,8 @@
     Reply(message, 404, json{{"error", "no such path"}});
     return;
   }
-  const std::string stream = path.substr(
-      prefix.size(), path.size() - prefix.size() - suffix.size());
+  const std::string stream =
+      path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
   const auto serve = [this, message, stream, query] {
     if (Method(message) == "POST") {
       Append(message, stream);
--- a/tests/support/stand_in_log.h
+++ b/tests/support/stand_in_log.h
@@ -32,10 +32,12 @@
     bool done = false;
   };
 
-  void OnRequest(SoupServerMessage* message, const std::string& path,
+  void OnRequest(SoupServerMessage* message,
+                 const std::string& path,
                  const Query& query) override;
   void Append(SoupServerMessage* message, const std::string& stream);
-  void Read(SoupServerMessage* message, const std::string& stream,
+  void Read(SoupServerMessage* message,
+            const std::string& stream,
             const Query& query);
   void Answer(Reader& reader);
   void Wake(const std::string& stream);
--- a/tests/support/stand_in_server.cpp
+++ b/tests/support/stand_in_server.cpp
@@ -24,8 +24,7 @@
          GHashTable* table, gpointer data) {
         auto* self = static_cast<StandInServer*>(data);
         if (std::string(path) == "/control") {
-          self->Control(
-              nlohmann::json::parse(Body(message), nullptr, false));
+          self->Control(nlohmann::json::parse(Body(message), nullptr, false));
           Reply(message, 200, self->switches_);
           return;
         }
@@ -51,9 +50,8 @@
   CHECK(ok) << "cannot listen on port " << port << ": " << ec->message;
   GSList* uris = soup_server_get_uris(server_);
   port_ = g_uri_get_port(static_cast<GUri*>(uris->data));
-  g_slist_free_full(uris, [](gpointer it) {
-    g_uri_unref(static_cast<GUri*>(it));
-  });
+  g_slist_free_full(uris,
+                    [](gpointer it) { g_uri_unref(static_cast<GUri*>(it)); });
   return port_;
 }
 
--- a/tests/support/stand_in_server.h
+++ b/tests/support/stand_in_server.h
@@ -37,7 +37,8 @@
  protected:
   using Query = std::map<std::string, std::string>;
 
-  virtual void OnRequest(SoupServerMessage* message, const std::string& path,
+  virtual void OnRequest(SoupServerMessage* message,
+                         const std::string& path,
                          const Query& query) = 0;
   virtual void OnControl() {}
 
@@ -48,7 +49,8 @@
   }
   nlohmann::json& switches() { return switches_; }
 
-  static void Reply(SoupServerMessage* message, int status,
+  static void Reply(SoupServerMessage* message,
+                    int status,
                     const nlohmann::json& body);
   static std::string Body(SoupServerMessage* message);
   static std::string Header(SoupServerMessage* message, const char* name);
--- a/tests/support/stand_in_services.cpp
+++ b/tests/support/stand_in_services.cpp
@@ -53,8 +53,7 @@
     Cut(message);
     return;
   }
-  Reply(message, 200,
-        json{{"path", path}, {"request", id}, {"receipt", n}});
+  Reply(message, 200, json{{"path", path}, {"request", id}, {"receipt", n}});
 }
 
 void StandInList::OnRequest(SoupServerMessage* message,
--- a/tests/support/stand_in_services.h
+++ b/tests/support/stand_in_services.h
@@ -19,7 +19,8 @@
   const std::map<std::string, int>& ran() const { return ran_; }
 
  private:
-  void OnRequest(SoupServerMessage* message, const std::string& path,
+  void OnRequest(SoupServerMessage* message,
+                 const std::string& path,
                  const Query& query) override;
   void Serve(SoupServerMessage* message, const std::string& path);
 
@@ -30,7 +31,8 @@
 //! Switches: "instances" (array), "outage", "lag_ms".
 class StandInList : public StandInServer {
  private:
-  void OnRequest(SoupServerMessage* message, const std::string& path,
+  void OnRequest(SoupServerMessage* message,
+                 const std::string& path,
                  const Query& query) override;
   void OnControl() override;
 
@@ -41,7 +43,8 @@
 //! (array), "per_minute".
 class StandInWeights : public StandInServer {
  private:
-  void OnRequest(SoupServerMessage* message, const std::string& path,
+  void OnRequest(SoupServerMessage* message,
+                 const std::string& path,
                  const Query& query) override;
 
   int64_t minute_ = 0;
--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Checks formatting and runs the linter on all sources.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/setup.sh
+git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
+cmake -B build -G Ninja >/dev/null
+git ls-files 'src/*.cpp' 'tests/*.cpp' 'examples/*.cpp' 'bench/*.cpp' |
+  xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>build/tidy.log ||
+  { cat build/tidy.log; exit 1; }
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds and runs all tests: unit tests, the fixed seeds of the randomised runs,
+# and the runs with real processes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+tools/build.sh
+build/tests/unit_tests --gtest_brief=1
+build/tests/soak 0 1 20
+tools/faults.sh
+tools/known_red.sh
