--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -229,7 +229,8 @@
 }
 
 void Coordinator::Handle(Millis, Millis, uint64_t, const CrashNotice& it) {
-  crash_notices_[it.crash.content].insert(it.crash.attempt);
+  crash_notices_[it.crash.content].insert(
+      StableHash(it.crash.endpoint, it.crash.attempt));
 }
 
 void Coordinator::Handle(Millis,
@@ -492,7 +493,8 @@
                               uint64_t attempt,
                               const Crash& crash) {
   control_writer_.Add(crash);
-  crash_notices_[crash.content].insert(crash.attempt);
+  crash_notices_[crash.content].insert(
+      StableHash(crash.endpoint, crash.attempt));
   for (const uint64_t peer : membership_.LivePeers(now)) {
     letters_.push_back({peer, CrashNotice{crash}});
   }
--- a/src/coordination/log_writer.cpp
+++ b/src/coordination/log_writer.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr int kMaxBackoffShift = 4;
+constexpr int kMaxBackoffShift = 2;
 constexpr int64_t kKeepaliveDivisor = 2;
 
 //! Rough encoded size; only large records matter.
--- a/src/state/control_fold.cpp
+++ b/src/state/control_fold.cpp
@@ -10,6 +10,8 @@
 
 #include <glog/logging.h>
 
+#include "state/digest.h"
+
 namespace tamaracktrail {
 
 FoldVerdict ControlFold::Apply(const Record& record,
@@ -36,7 +38,7 @@
 
 size_t ControlFold::CrashCount(const std::string& content) const {
   auto it = contents_.find(content);
-  return it == contents_.end() ? 0 : it->second.crashed_attempts.size();
+  return it == contents_.end() ? 0 : it->second.crashed_runs.size();
 }
 
 std::optional<uint64_t> ControlFold::TrialOf(const std::string& content) const {
@@ -104,7 +106,9 @@
 FoldVerdict ControlFold::On(const Crash& record, const FoldContext&) {
   ContentState& state = contents_[record.content];
   state.seen = clock_.now();
-  return state.crashed_attempts.insert(record.attempt).second
+  // One attempt may crash a second endpoint when it is repeated.
+  const uint64_t run = StableHash(record.endpoint, record.attempt);
+  return state.crashed_runs.insert(run).second
              ? FoldVerdict::kAccepted
              : FoldVerdict::kRepeat;
 }
--- a/src/state/control_fold.h
+++ b/src/state/control_fold.h
@@ -82,13 +82,13 @@
 
  private:
   struct ContentState {
-    std::set<uint64_t> crashed_attempts;
+    std::set<uint64_t> crashed_runs;
     uint64_t trial = 0;
     Millis seen;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(crashed_attempts, trial, seen);
+      archive(crashed_runs, trial, seen);
     }
   };
 
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -8,7 +8,8 @@
 
 stop_fleet() {
   trap - EXIT
-  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  # What still runs here is left over: graceful ends come before this.
+  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   rm -rf "$work"
 }
