--- a/bench/budget_study.cpp
+++ b/bench/budget_study.cpp
@@ -71,7 +71,9 @@
 }
 
 template <SharePolicy Policy>
-void RunScenario(const Scenario& scenario, const std::string& name, Policy policy) {
+void RunScenario(const Scenario& scenario,
+                 const std::string& name,
+                 Policy policy) {
   typename KeeperLab<Policy>::Result sum;
   constexpr uint64_t kSeeds = 5;
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
@@ -89,8 +91,8 @@
     sum.log_appends += it.log_appends;
   }
   std::cout << scenario.name << "," << name << "," << sum.calls << ","
-            << sum.refused << "," << sum.false_refusals << ","
-            << sum.overspend << "," << sum.log_appends << std::endl;
+            << sum.refused << "," << sum.false_refusals << "," << sum.overspend
+            << "," << sum.log_appends << std::endl;
 }
 
 }  // namespace
@@ -111,9 +113,9 @@
     tamaracktrail::RunScenario(scenario, "static_split", StaticSplitPolicy());
     tamaracktrail::RunScenario(scenario, "draw_each", DrawEachPolicy());
     for (const double hold : {0.0, 0.25, 0.5, 0.75, 1.0}) {
-      tamaracktrail::RunScenario(scenario,
-                         "escrow_hold_" + std::to_string(hold).substr(0, 4),
-                         EscrowPolicy(hold, kCover));
+      tamaracktrail::RunScenario(
+          scenario, "escrow_hold_" + std::to_string(hold).substr(0, 4),
+          EscrowPolicy(hold, kCover));
     }
   }
   return 0;
--- a/bench/keeper_lab.h
+++ b/bench/keeper_lab.h
@@ -83,8 +83,9 @@
       StartKeeper(centre);
     });
     // The next sweep frees what the settled attempts did not use.
-    events_.After(sweep + kMinute,
-                  [this, centre, dead] { Append(centre, {Release{dead, "", {}}}); });
+    events_.After(sweep + kMinute, [this, centre, dead] {
+      Append(centre, {Release{dead, "", {}}});
+    });
   }
 
   Result Finish() {
@@ -122,8 +123,8 @@
     it.fold = std::make_unique<LedgerFold>(kHour * 24);
     typename Keeper<Policy>::Options options;
     options.data_centres = kCentres;
-    it.keeper =
-        std::make_unique<Keeper<Policy>>(it.id, policy_, options, it.fold.get());
+    it.keeper = std::make_unique<Keeper<Policy>>(it.id, policy_, options,
+                                                 it.fold.get());
     it.read = 0;
     it.unsent.clear();
     it.up = true;
@@ -210,11 +211,11 @@
       return;
     }
     Outbox outbox;
-    it.keeper->OnReserve(now(), now(),
-                         ReserveRequest{kName, std::to_string(attempt), "s",
-                                        attempt, kEntry, options_.worst_case,
-                                        false},
-                         outbox);
+    it.keeper->OnReserve(
+        now(), now(),
+        ReserveRequest{kName, std::to_string(attempt), "s", attempt, kEntry,
+                       options_.worst_case, false},
+        outbox);
     Take(i, outbox);
   }
 
@@ -232,9 +233,8 @@
     ++result_.served;
     centres_[i].open[reply.attempt] = reply.tokens;
     centres_[i].holder[reply.attempt] = reply.holder;
-    events_.After(Millis(500), [this, i, attempt = reply.attempt] {
-      Settle(i, attempt);
-    });
+    events_.After(Millis(500),
+                  [this, i, attempt = reply.attempt] { Settle(i, attempt); });
   }
 
   void Settle(int i, uint64_t attempt) {
--- a/src/coordination/endpoint_table.cpp
+++ b/src/coordination/endpoint_table.cpp
@@ -138,7 +138,10 @@
   double room = 0;
   for (const EndpointCandidate& it : Candidates(now, service)) {
     const Entry& entry = entries_.at(it.name);
-    room += std::ceil((1 - it.load) * entry.spec.capacity * RampOf(now, entry));
+    const double free =
+        (1 - it.load) * entry.spec.capacity * RampOf(now, entry);
+    // Each dispatch of this instance stands for one of each sharer.
+    room += std::ceil(free / sharers_);
   }
   return static_cast<int>(room);
 }
@@ -159,13 +162,13 @@
 }
 
 double EndpointTable::Load(Millis now, const Entry& entry) const {
-  // What the endpoint reported lags, so dispatches and ends since then are
-  // added here.
+  // What the endpoint reported lags. Dispatches since then are added, as if
+  // each other sender had made as many; ends are only known of one's own.
   const Millis since = entry.last->as_of - options_.load_lag;
-  const int64_t net =
-      CountSince(entry.sends, since) - CountSince(entry.finishes, since);
+  const int64_t sent = CountSince(entry.sends, since) * sharers_;
+  const int64_t ended = CountSince(entry.finishes, since);
   const int64_t estimate =
-      std::max<int64_t>(entry.last->load + net, entry.in_flight);
+      std::max<int64_t>(entry.last->load + sent - ended, entry.in_flight);
   return static_cast<double>(estimate) /
          (entry.spec.capacity * RampOf(now, entry));
 }
--- a/src/coordination/endpoint_table.h
+++ b/src/coordination/endpoint_table.h
@@ -45,6 +45,10 @@
   //! After a pause of this process: nothing seen before `now` counts.
   void ForgetBefore(Millis now) { not_before_ = now; }
 
+  //! Number of instances that send to the same endpoints, this one included.
+  //! They are taken to send like this one between two reports of the load.
+  void SetSharers(int sharers) { sharers_ = sharers; }
+
   //! A request goes to the endpoint. Pair each call with one of OnFinish.
   void OnDispatch(Millis now, const std::string& endpoint);
 
@@ -99,6 +103,7 @@
   std::string data_centre_;
   Options options_;
   Millis not_before_;
+  int sharers_ = 1;
   std::map<std::string, Entry> entries_;
 };
 
