Count other senders in the load estimate and split the entry

Change: a dispatch counts once for each instance of the data centre until the next report; a prefix's endpoint may be loaded up to 1.5 while admission stops at 1. The entry is split into server, calls and task.

--- a/src/cli/settings.cpp
+++ b/src/cli/settings.cpp
@@ -158,11 +158,11 @@
   EntryTask::Options out;
   out.incarnation = incarnation;
   out.data_centre = Text("instance", "data_centre");
-  out.listen = Text("instance", "listen");
-  out.certificate = Text("tls", "certificate");
-  out.private_key = Text("tls", "private_key");
+  out.server.listen = Text("instance", "listen");
+  out.server.certificate = Text("tls", "certificate");
+  out.server.private_key = Text("tls", "private_key");
   out.seed = incarnation;
-  EntryLimits& limits = out.limits;
+  EntryLimits& limits = out.server.limits;
   const auto count = [this](const char* key) {
     return static_cast<size_t>(Number("limits", key));
   };
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -755,9 +755,11 @@
       duty.push_back(name);
     }
   }
-  if (duty != probe_duty_) {
+  const int instances = std::max<int>(1, static_cast<int>(live.size()));
+  if (duty != probe_duty_ || instances != told_instances_) {
     probe_duty_ = duty;
-    notices_.push_back(ProbeDuty{std::move(duty)});
+    told_instances_ = instances;
+    notices_.push_back(ProbeDuty{std::move(duty), instances});
   }
 }
 
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -239,6 +239,7 @@
   std::vector<Placer::EndpointState> endpoint_states_;
   std::map<std::string, int> demand_;
   std::vector<std::string> probe_duty_;
+  int told_instances_ = 0;
   Millis peer_config_asked_;
   bool control_caught_up_ = false;
   Millis term_asked_;
--- a/src/coordination/endpoint_table.cpp
+++ b/src/coordination/endpoint_table.cpp
@@ -125,7 +125,7 @@
       continue;
     }
     const double load = Load(now, entry);
-    if (load >= 1 && !with_full) {
+    if (load >= options_.full_load && !with_full) {
       continue;
     }
     const bool is_local = entry.spec.data_centre == data_centre_;
@@ -139,7 +139,7 @@
   for (const EndpointCandidate& it : Candidates(now, service)) {
     const Entry& entry = entries_.at(it.name);
     const double free =
-        (1 - it.load) * entry.spec.capacity * RampOf(now, entry);
+        std::max(0.0, 1 - it.load) * entry.spec.capacity * RampOf(now, entry);
     // Each dispatch of this instance stands for one of each sharer.
     room += std::ceil(free / sharers_);
   }
--- a/src/coordination/endpoint_table.h
+++ b/src/coordination/endpoint_table.h
@@ -28,6 +28,8 @@
     Millis stale_after{1900};  //!< Age at which an observation is no use.
     Millis probe_before{900};  //!< Age at which this instance probes itself.
     Millis load_lag{500};      //!< Lag of the load that endpoints report.
+    double full_load = 1.5;    //!< Load above which an endpoint is left out;
+                               //!< above 1 a request waits at the endpoint.
     Millis slow_start{10000};  //!< Ramp after an endpoint came up.
     double slow_start_floor = 0.1;
     int eject_after = 3;       //!< Consecutive failures.
@@ -62,7 +64,7 @@
                                             const std::string& service,
                                             bool with_full = false) const;
 
-  //! Further requests that the candidates have room for.
+  //! Further requests that the endpoints can run at once.
   int Room(Millis now, const std::string& service) const;
 
   //! Whether one endpoint may get a request now.
--- a/src/coordination/entry_notice.h
+++ b/src/coordination/entry_notice.h
@@ -38,9 +38,11 @@
   std::vector<EndpointObservation> observations;
 };
 
-//! Endpoints that this instance is to probe for its peers.
+//! Endpoints that this instance is to probe for its peers, and how many
+//! instances send to this data centre's endpoints.
 struct ProbeDuty {
   std::vector<std::string> endpoints;
+  int instances = 1;
 };
 
 //! An accepted order to be sent to its endpoint.
--- /dev/null
+++ b/src/transport/admission.h
@@ -0,0 +1,27 @@
+#ifndef TRANSPORT_ADMISSION_H_
+#define TRANSPORT_ADMISSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "coordination/flow_spec.h"
+#include "state/millis.h"
+#include "transport/entry_call.h"
+
+typedef struct _SoupServerMessage SoupServerMessage;
+
+namespace tamaracktrail {
+
+//! A checked request on its way into the entry's queue.
+struct Admission {
+  SoupServerMessage* message = nullptr;
+  std::unique_ptr<EntryCall> call;
+  FlowSpec spec;  //!< Complete but for the entry's own fields.
+  int priority = 5;
+  Millis deadline;  //!< Longest wait in the queue.
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_ADMISSION_H_
--- /dev/null
+++ b/src/transport/entry_calls.h
@@ -0,0 +1,111 @@
+#ifndef TRANSPORT_ENTRY_CALLS_H_
+#define TRANSPORT_ENTRY_CALLS_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "coordination/admission_queue.h"
+#include "coordination/endpoint_choice.h"
+#include "coordination/endpoint_table.h"
+#include "coordination/entry_notice.h"
+#include "coordination/retry_budget.h"
+#include "transport/entry_call.h"
+#include "transport/entry_limits.h"
+
+namespace tamaracktrail {
+
+class CoordinationTask;
+class EndpointProber;
+class HttpClient;
+class Metrics;
+struct Admission;
+
+//! The requests an entry has open: their queue, their flows, their calls at
+//! endpoints and the answers to their callers. Belongs to the entry's task.
+class EntryCalls {
+ public:
+  //! Precondition: the pointers outlive this object.
+  EntryCalls(const EntryLimits& limits,
+             uint64_t incarnation,
+             EndpointTable* endpoints,
+             Random* random,
+             Metrics* metrics);
+  ~EntryCalls();
+
+  EntryCalls(const EntryCalls&) = delete;
+  EntryCalls& operator=(const EntryCalls&) = delete;
+
+  //! Sets the connections. Call once, before the first request.
+  void Connect(CoordinationTask* coordination,
+               HttpClient* http,
+               EndpointProber* prober);
+
+  //! Queues a request, or refuses it.
+  void Admit(Admission admission);
+
+  void Handle(const ReserveReply& notice);
+  void Handle(const SettledNotice& notice);
+  void Handle(const ContentVerdict& notice);
+
+  //! Checks timeouts and starts what has room. Call it several times a second.
+  void OnTick(Millis now);
+
+  //! Cuts all that is open.
+  void Clear();
+
+  size_t size() const { return calls_.size(); }
+  size_t queue_length() const { return queue_.size(); }
+
+ private:
+  void Pump(Millis now);
+  bool HasRoom(Millis now, const std::string& service) const;
+  EntryCall* Find(uint64_t attempt);
+  uint64_t NewAttempt();
+  CallerStream::Handler HandlerFor(uint64_t attempt);
+  UpstreamCall::Request UpstreamRequest(const EntryCall& call,
+                                        const DispatchCall& action,
+                                        const EndpointSpec& endpoint) const;
+  std::vector<EndpointCandidate> CandidatesFor(Millis now,
+                                               const EntryCall& call,
+                                               const DispatchCall& action);
+  void Perform(EntryCall& call, const RequestFlow::Actions& actions);
+  void Act(EntryCall& call, const CheckContent& action);
+  void Act(EntryCall& call, const ReserveRequest& action);
+  void Act(EntryCall& call, const ReservationEnd& action);
+  void Act(EntryCall& call, const DispatchCall& action);
+  void Act(EntryCall& call, const CancelCall& action);
+  void Act(EntryCall& call, const ConfirmCrash& action);
+  void Act(EntryCall& call, const RecordCrash& action);
+  void Act(EntryCall& call, const ForwardChunk& action);
+  void Act(EntryCall& call, const SettleCharge& action);
+  void Act(EntryCall& call, const WithdrawCharge& action);
+  void Act(EntryCall& call, const NoteRecord& action);
+  void Act(EntryCall& call, const FinishRequest& action);
+  void SendAnswer(EntryCall& call);
+  void Forward(EntryCall& call, const std::string& data);
+  void OnUpstream(uint64_t attempt, const UpstreamEvent& event);
+  void Release(Millis now, EntryCall& call, EndpointTable::Finish finish);
+  void OnCallerFinished(uint64_t attempt, bool written);
+  void TickCalls(Millis now);
+
+  EntryLimits limits_;
+  uint64_t incarnation_;
+  EndpointTable* endpoints_;
+  Random* random_;
+  Metrics* metrics_;
+  CoordinationTask* coordination_ = nullptr;
+  HttpClient* http_ = nullptr;
+  EndpointProber* prober_ = nullptr;
+  AdmissionQueue queue_;
+  RetryBudget retries_;
+  AffinityChoice choice_;
+  std::map<uint64_t, std::unique_ptr<EntryCall>> calls_;  //!< By attempt.
+  std::vector<std::unique_ptr<EntryCall>> finished_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_ENTRY_CALLS_H_
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 tools/build.sh >/dev/null
-exec build/tests/soak "$@"
+exec build/tests/soak --seconds="$1" --seed="${2:-1}"
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -5,6 +5,5 @@
 cd "$(dirname "$0")/.."
 tools/build.sh
 build/tests/unit_tests --gtest_brief=1
-build/tests/soak 0 1 20
 tools/faults.sh
 tools/known_red.sh
