Test the keeper, flows, custody, membership, routing and frames

Change: contract and table tests a class, property tests of the frame codec, fixed seeds in the unit tests.

--- /dev/null
+++ b/tests/coordination/decisions_test.cpp
@@ -0,0 +1,307 @@
+#include <gtest/gtest.h>
+
+#include "coordination/admission_queue.h"
+#include "coordination/charge_custody.h"
+#include "coordination/endpoint_choice.h"
+#include "coordination/endpoint_table.h"
+#include "coordination/exit_sweep.h"
+#include "coordination/log_writer.h"
+#include "coordination/membership.h"
+#include "coordination/placer.h"
+#include "state/batch_codec.h"
+
+namespace tamaracktrail {
+namespace {
+
+// Membership.
+
+Heartbeat Beat(uint64_t incarnation,
+               uint64_t sequence,
+               uint64_t echo_of,
+               Millis echo) {
+  Heartbeat it;
+  it.from = {"10.0.0.2:1", incarnation};
+  it.data_centre = "dc";
+  it.sequence = sequence;
+  it.echo_of = echo_of;
+  it.echo = echo;
+  return it;
+}
+
+TEST(MembershipTest, PeerHeardOneWayOnlyIsNotLive) {
+  Membership it({"10.0.0.1:1", 1}, "dc", {});
+  std::optional<uint64_t> replaced;
+  const Millis now{10000};
+  EXPECT_TRUE(it.OnHeartbeat(now, Beat(2, 1, 0, Millis()), replaced));
+  EXPECT_TRUE(it.LivePeers(now).empty());
+  EXPECT_TRUE(it.OnHeartbeat(now, Beat(2, 2, 1, Millis(9900)), replaced));
+  EXPECT_EQ(it.LivePeers(now).size(), 1u);
+  EXPECT_TRUE(it.LivePeers(now + kSecond * 3).empty());
+}
+
+TEST(MembershipTest, SilenceSuspectsAndOnlyEvidenceEnds) {
+  Membership it({"10.0.0.1:1", 1}, "dc", {});
+  std::optional<uint64_t> replaced;
+  it.OnHeartbeat(Millis(1), Beat(2, 1, 1, Millis(1)), replaced);
+  const Millis later = kHour;
+  EXPECT_EQ(it.Suspected(later), std::vector<uint64_t>{2});
+  EXPECT_FALSE(it.Exited(2));
+  it.OnHeartbeat(later, Beat(3, 1, 0, Millis()), replaced);
+  EXPECT_EQ(replaced, 2u);
+  EXPECT_TRUE(it.Exited(2));
+  EXPECT_FALSE(it.OnHeartbeat(later, Beat(2, 9, 1, later), replaced));
+}
+
+TEST(MembershipTest, ListOnlySeeds) {
+  Membership it({"10.0.0.1:1", 1}, "dc", {});
+  it.SetSeeds({"10.0.0.1:1", "10.0.0.3:1"});
+  EXPECT_EQ(it.Due(Millis(1)), std::vector<std::string>{"10.0.0.3:1"});
+  std::optional<uint64_t> replaced;
+  it.OnHeartbeat(Millis(1000), Beat(2, 1, 1, Millis(900)), replaced);
+  it.SetSeeds({});
+  EXPECT_EQ(it.LivePeers(Millis(1000)).size(), 1u);
+}
+
+// Sweeps.
+
+TEST(ExitSweepTest, WaitsForEachMemberAndKeepsTheLargestOfAnAttempt) {
+  ExitSweep it;
+  const std::vector<uint64_t> members{2, 3};
+  it.Start(9);
+  it.OnReport({9, 2, {{"org", 7, 40}}, {}});
+  EXPECT_TRUE(it.TakeComplete(members).empty());
+  it.OnReport({9, 3, {{"org", 7, 100}}, {}});
+  const auto complete = it.TakeComplete(members);
+  ASSERT_EQ(complete.size(), 1u);
+  EXPECT_EQ(complete[0].kept, (std::vector<KeptShare>{{"org", 7, 100}}));
+}
+
+// Custody.
+
+SettleRequest Settlement(uint64_t holder) {
+  SettleRequest it;
+  it.charge.organisation = "org";
+  it.charge.key = "k";
+  it.charge.holder = holder;
+  it.charge.entry = 1;
+  it.charge.attempt = 9;
+  it.reserved = 100;
+  return it;
+}
+
+TEST(ChargeCustodyTest, OwnWordDoesNotMakeAChargeSafe) {
+  ChargeCustody it(1, {});
+  Outbox outbox;
+  const std::vector<uint64_t> peers{2, 3};
+  it.Settle(Millis(0), Settlement(1), peers, outbox);
+  ASSERT_EQ(outbox.letters.size(), 1u);
+  EXPECT_NE(outbox.letters[0].to, 1u);
+  EXPECT_TRUE(it.TakeSettled().empty());
+  it.OnHeldElsewhere(9);
+  const auto settled = it.TakeSettled();
+  ASSERT_EQ(settled.size(), 1u);
+  EXPECT_EQ(settled[0].safety, ChargeCustody::Safety::kSafe);
+}
+
+TEST(ChargeCustodyTest, AloneWithoutTheLogTheAnswerIsWithheldAndVoided) {
+  ChargeCustody it(1, {});
+  Outbox outbox;
+  it.Settle(Millis(0), Settlement(7), {}, outbox);
+  it.OnTick(Millis(1), {}, outbox);
+  ASSERT_EQ(outbox.records.size(), 1u);  // The charge itself.
+  it.OnTick(kSecond * 5, {}, outbox);
+  const auto settled = it.TakeSettled();
+  ASSERT_EQ(settled.size(), 1u);
+  EXPECT_EQ(settled[0].safety, ChargeCustody::Safety::kNotSafe);
+  EXPECT_TRUE(std::holds_alternative<Void>(outbox.records.back()));
+}
+
+// Log writer.
+
+TEST(LogWriterTest, RepeatsTheSameBytesUntilConfirmed) {
+  const BatchCodec codec("a key for tests");
+  LogWriter it(5, &codec, {});
+  const uint64_t ticket = it.Add(Want{"org", 1, 1});
+  const auto first = it.NextAppend(Millis(0), Millis(0));
+  ASSERT_TRUE(first.has_value());
+  EXPECT_FALSE(it.NextAppend(kHour, Millis(0)).has_value());
+  it.OnAppended(Millis(0), false);
+  it.Add(Want{"org", 1, 2});
+  EXPECT_EQ(it.NextAppend(kHour, Millis(0)), first);
+  EXPECT_FALSE(it.Confirmed(ticket));
+  it.OnReadBack(1);
+  EXPECT_TRUE(it.Confirmed(ticket));
+  EXPECT_EQ(it.backlog(), 1u);
+}
+
+// Endpoints.
+
+class EndpointTableTest : public testing::Test {
+ protected:
+  EndpointTableTest() : table_("dc", {}) {
+    table_.SetSpecs({{"a", "", "s", "dc", 10, true},
+                     {"b", "", "s", "dc", 10, true},
+                     {"far", "", "s", "other", 10, true}});
+  }
+
+  void See(const char* name, EndpointHealth health, Millis at, int load = 0) {
+    table_.Observe({name, health, load, "", {}, at});
+  }
+
+  size_t Count(Millis now) const { return table_.Candidates(now, "s").size(); }
+
+  EndpointTable table_;
+};
+
+TEST_F(EndpointTableTest, NothingNewTwoSecondsAfterTheLastSight) {
+  See("a", EndpointHealth::kUp, Millis(1000));
+  EXPECT_EQ(Count(Millis(2000)), 1u);
+  EXPECT_EQ(Count(Millis(3000)), 0u);
+}
+
+TEST_F(EndpointTableTest, LeavingEndpointIsNoCandidateAndOldNewsDoNotRevive) {
+  See("a", EndpointHealth::kLeaving, Millis(1000));
+  See("a", EndpointHealth::kUp, Millis(900));
+  EXPECT_EQ(Count(Millis(1001)), 0u);
+}
+
+TEST_F(EndpointTableTest, SightsFromBeforeAPauseDoNotCount) {
+  See("a", EndpointHealth::kUp, Millis(1000));
+  table_.ForgetBefore(Millis(1100));
+  EXPECT_EQ(Count(Millis(1101)), 0u);
+}
+
+TEST_F(EndpointTableTest, OtherDataCentresServeOnlyWhereThisOneHasNone) {
+  See("a", EndpointHealth::kUp, Millis(1000));
+  See("far", EndpointHealth::kUp, Millis(1000));
+  EXPECT_TRUE(table_.Candidates(Millis(1001), "s")[0].local);
+  See("a", EndpointHealth::kDown, Millis(1002));
+  EXPECT_FALSE(table_.Candidates(Millis(1003), "s")[0].local);
+}
+
+TEST_F(EndpointTableTest, OutlierIsEjectedButNeverMoreThanHalf) {
+  See("a", EndpointHealth::kUp, Millis(1000));
+  See("b", EndpointHealth::kUp, Millis(1000));
+  for (const char* name : {"a", "b"}) {
+    for (int i = 0; i < 3; ++i) {
+      table_.OnDispatch(Millis(1001), name);
+      table_.OnFinish(Millis(1001), name, EndpointTable::Finish::kFailed);
+    }
+  }
+  EXPECT_EQ(Count(Millis(1002)), 1u);
+}
+
+TEST_F(EndpointTableTest, ReturningEndpointStartsSlowly) {
+  See("a", EndpointHealth::kDown, Millis(1000));
+  See("a", EndpointHealth::kUp, Millis(2000));
+  EXPECT_EQ(table_.Room(Millis(2001), "s"), 1);
+  See("a", EndpointHealth::kUp, Millis(20000));
+  EXPECT_EQ(table_.Room(Millis(20001), "s"), 10);
+}
+
+TEST_F(EndpointTableTest, DispatchesSinceTheReportCountForAllSenders) {
+  See("a", EndpointHealth::kUp, Millis(1000), 2);
+  table_.SetSharers(4);
+  table_.OnDispatch(Millis(1001), "a");
+  EXPECT_DOUBLE_EQ(table_.Candidates(Millis(1002), "s")[0].load, 0.6);
+}
+
+TEST(AffinityChoiceTest, SamePrefixStaysUntilItsEndpointIsLoaded) {
+  std::vector<EndpointCandidate> candidates;
+  for (int i = 0; i < 8; ++i) {
+    candidates.push_back({"e" + std::to_string(i), 0.2, true});
+  }
+  Random random(1);
+  const AffinityChoice choice;
+  const size_t first = choice.Pick(candidates, "prefix", random);
+  EXPECT_EQ(choice.Pick(candidates, "prefix", random), first);
+  candidates[first].load = 1.4;
+  EXPECT_NE(choice.Pick(candidates, "prefix", random), first);
+}
+
+// Admission.
+
+AdmissionQueue::Item Waiting(uint64_t id,
+                             const char* organisation,
+                             int priority,
+                             Millis since = Millis(0)) {
+  return {id, "s", organisation, priority, 10, since, since + kMinute};
+}
+
+TEST(AdmissionQueueTest, OrganisationsTakeTurnsWithinAPriority) {
+  AdmissionQueue queue({});
+  for (uint64_t i = 0; i < 10; ++i) {
+    queue.Push(Waiting(i, "large", 5));
+  }
+  queue.Push(Waiting(100, "small", 5));
+  queue.Pop(Millis(1), "s");
+  EXPECT_EQ(queue.Pop(Millis(1), "s")->id, 100u);
+}
+
+TEST(AdmissionQueueTest, WaitingRaisesALowPriority) {
+  AdmissionQueue queue({});
+  queue.Push(Waiting(1, "a", 9, Millis(0)));
+  queue.Push(Waiting(2, "b", 0, Millis(19000)));
+  EXPECT_EQ(queue.Pop(Millis(19000), "s")->id, 1u);
+}
+
+TEST(AdmissionQueueTest, FullQueueAndPassedDeadlinesRefuse) {
+  AdmissionQueue queue({.max_length = 2, .max_per_organisation = 1});
+  EXPECT_TRUE(queue.Push(Waiting(1, "a", 5)));
+  EXPECT_FALSE(queue.Push(Waiting(2, "a", 5)));
+  EXPECT_TRUE(queue.Push(Waiting(3, "b", 5)));
+  EXPECT_FALSE(queue.Push(Waiting(4, "c", 5)));
+  EXPECT_EQ(queue.TakeExpired(kMinute).size(), 2u);
+}
+
+// Placement.
+
+class PlacerTest : public testing::Test {
+ protected:
+  std::vector<Order> Decide(Millis now) {
+    return placer_.Decide(now, {{"p", "s", "dc", "m", 1, 2}}, endpoints_,
+                          demand_);
+  }
+
+  Placer placer_{"dc", {}};
+  std::vector<Placer::EndpointState> endpoints_{{"a", "s", {}, true, true, 0},
+                                                {"b", "s", {}, true, true, 0}};
+  std::map<std::string, int> demand_;
+};
+
+TEST_F(PlacerTest, OnlyTheTermsHolderOrdersAndOneAtATime) {
+  EXPECT_TRUE(Decide(Millis(0)).empty());
+  placer_.SetTerm(Millis(0), 5);
+  const auto orders = Decide(Millis(1));
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].fencing_number, 5u);
+  EXPECT_TRUE(placer_.MaySend(orders[0]));
+  EXPECT_TRUE(Decide(Millis(2)).empty());
+  placer_.SetTerm(Millis(3), 6);
+  EXPECT_FALSE(placer_.MaySend(orders[0]));
+}
+
+TEST_F(PlacerTest, LastCopyIsNeverUnloaded) {
+  placer_.SetTerm(Millis(0), 5);
+  endpoints_[0].loaded = {"m"};
+  EXPECT_TRUE(Decide(Millis(1)).empty());
+  endpoints_[1].loaded = {"m"};
+  ASSERT_EQ(Decide(Millis(2)).size(), 1u);
+  placer_.SetTerm(Millis(3), 6);
+  endpoints_[0].in_flight = endpoints_[1].in_flight = 1;
+  EXPECT_TRUE(Decide(Millis(4)).empty());
+}
+
+TEST_F(PlacerTest, EndpointsThatIgnoreFencingWaitAndKeepASpareCopy) {
+  for (auto& it : endpoints_) {
+    it.checks_fencing = false;
+  }
+  placer_.SetTerm(Millis(0), 5);
+  EXPECT_TRUE(Decide(Millis(1)).empty());
+  EXPECT_EQ(Decide(kSecond * 6).size(), 1u);
+  endpoints_[0].loaded = endpoints_[1].loaded = {"m"};
+  EXPECT_TRUE(Decide(kMinute).empty());
+}
+
+}  // namespace
+}  // namespace tamaracktrail
--- /dev/null
+++ b/tests/protocol/frame_codec_test.cpp
@@ -0,0 +1,86 @@
+#include "protocol/frame_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+namespace tamaracktrail {
+namespace {
+
+const FrameCodec kCodec("a key for tests");
+
+std::string Frame() {
+  return kCodec.Encode(ReserveRequest{"org", "key", "s", 1, 2, 300, true});
+}
+
+TEST(FrameCodecTest, AnyReservationComesBackAsItWas) {
+  const bool ok = rc::check([](const std::string& organisation,
+                               const std::string& key, uint64_t attempt,
+                               int64_t tokens, bool claim) {
+    const ReserveRequest it{organisation, key, "s", attempt, 7, tokens, claim};
+    const auto message = kCodec.Decode(kCodec.Encode(it));
+    RC_ASSERT(message.ok());
+    RC_ASSERT(std::get<ReserveRequest>(*message) == it);
+  });
+  EXPECT_TRUE(ok);
+}
+
+//! A change to a frame and what decoding it must say.
+struct FaultCase {
+  const char* name;
+  std::function<void(std::string&)> change;
+  absl::StatusCode code;
+};
+
+TEST(FrameCodecTest, DamagedFramesAreRefused) {
+  const FaultCase kCases[] = {
+      {"cut", [](auto& it) { it.pop_back(); }, absl::StatusCode::kOutOfRange},
+      {"header only", [](auto& it) { it.resize(10); },
+       absl::StatusCode::kOutOfRange},
+      {"bytes after the end", [](auto& it) { it += "x"; },
+       absl::StatusCode::kOutOfRange},
+      {"another version", [](auto& it) { it[5] ^= 1; },
+       absl::StatusCode::kFailedPrecondition},
+      {"too long", [](auto& it) { it[6] = '\x7f'; },
+       absl::StatusCode::kOutOfRange},
+      {"wrong magic", [](auto& it) { it[0] = 'x'; },
+       absl::StatusCode::kDataLoss},
+      {"wrong tag", [](auto& it) { it[12] ^= 1; },
+       absl::StatusCode::kUnauthenticated},
+      {"changed body", [](auto& it) { it.back() ^= 1; },
+       absl::StatusCode::kUnauthenticated},
+  };
+  for (const FaultCase& it : kCases) {
+    std::string frame = Frame();
+    it.change(frame);
+    EXPECT_EQ(kCodec.Decode(frame).status().code(), it.code) << it.name;
+  }
+}
+
+TEST(FrameCodecTest, FrameUnderAnotherKeyIsRefused) {
+  const FrameCodec other("another key for tests");
+  EXPECT_TRUE(absl::IsUnauthenticated(other.Decode(Frame()).status()));
+}
+
+TEST(FrameCodecTest, StreamOfFramesIsTakenInAnyPieces) {
+  const std::string stream = Frame() + Frame() + Frame();
+  for (size_t piece = 1; piece < stream.size(); piece += 7) {
+    std::string buf;
+    int n = 0;
+    for (size_t at = 0; at < stream.size(); at += piece) {
+      buf += stream.substr(at, piece);
+      while (true) {
+        const auto message = kCodec.TakeFrom(buf);
+        ASSERT_TRUE(message.ok());
+        if (!message->has_value()) {
+          break;
+        }
+        ++n;
+      }
+    }
+    EXPECT_EQ(n, 3);
+    EXPECT_TRUE(buf.empty());
+  }
+}
+
+}  // namespace
+}  // namespace tamaracktrail
