Work roles out when candidates change and bound peers' clocks

At 56 peers the heartbeat period of 1.1 s also made peers suspect each other after 2 s, and news of endpoints were dated by an echo up to 2.2 s old, so all would have probed all. Change: keepers and probe duties are worked out when the set of candidates changes; suspicion waits four periods; the age of news is bounded by the tightest echo of the peer's clock, with drift, and heartbeats are jittered.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -45,10 +45,27 @@
   return static_cast<uint32_t>(StableHash(organisation) % options_.shards);
 }
 
+void Coordinator::RefreshRoles(Millis now) const {
+  if (now == roles_at_) {
+    return;
+  }
+  roles_at_ = now;
+  std::vector<uint64_t> live = membership_.Candidates(now, Idle());
+  if (live == candidates_ && !keepers_.empty()) {
+    return;
+  }
+  candidates_ = std::move(live);
+  ++role_changes_;
+  keepers_.clear();
+  for (const auto& shard : shards_) {
+    const uint64_t keeper = RendezvousPick(shard->stream(), candidates_);
+    keepers_.push_back(keeper == 0 ? self_.incarnation : keeper);
+  }
+}
+
 uint64_t Coordinator::KeeperOf(Millis now, uint32_t shard) const {
-  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
-  const uint64_t keeper = RendezvousPick(LedgerShard::StreamName(shard), live);
-  return keeper == 0 ? self_.incarnation : keeper;
+  RefreshRoles(now);
+  return keepers_[shard];
 }
 
 bool Coordinator::Serving(Millis now, uint32_t shard) const {
@@ -101,7 +118,7 @@
                    "its address answers as another incarnation");
   }
   const Membership::Peer* peer = membership_.ByIncarnation(it.from.incarnation);
-  if (peer == nullptr || !peer->echoed_at.has_value()) {
+  if (peer == nullptr || !Membership::LocalTime(*peer, it.sent_at)) {
     return;
   }
   NewsNotice news;
@@ -110,9 +127,7 @@
     seen.endpoint = item.endpoint;
     seen.health = static_cast<EndpointHealth>(item.health);
     seen.load = item.load;
-    // The peer sent this after it had our echoed heartbeat, so by our clock
-    // the probe was not before echo - age.
-    seen.as_of = *peer->echoed_at - item.age;
+    seen.as_of = *Membership::LocalTime(*peer, it.sent_at) - item.age;
     news.observations.push_back(std::move(seen));
   }
   if (!news.observations.empty()) {
@@ -579,6 +594,7 @@
       !peers.empty() && membership_.HeardPeers(now) == peers.size();
   if (all_heard || now >= *started_at_ + options_.settle) {
     ready_ = true;
+    roles_at_ = Millis(-1);
     notices_.push_back(CatalogNotice{catalog_});
   }
 }
@@ -675,7 +691,8 @@
       OnExitEvidence(now, incarnation, "its address is bound by another");
     }
   }
-  for (const auto& [incarnation, evidence] : exit_evidence_) {
+  for (const auto& it : exit_evidence_) {
+    const uint64_t incarnation = it.first;
     Millis& at = swept_at_[incarnation];
     if (now < at + options_.resweep) {
       continue;
@@ -753,23 +770,24 @@
 }
 
 void Coordinator::TickProbeDuty(Millis now) {
-  if (catalog_ == nullptr) {
+  RefreshRoles(now);
+  const bool same =
+      duty_version_ == config_version_ && duty_roles_ == role_changes_;
+  if (catalog_ == nullptr || same) {
     return;
   }
-  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
-  std::vector<std::string> duty;
+  duty_version_ = config_version_;
+  duty_roles_ = role_changes_;
+  ProbeDuty duty;
   for (const auto& [name, spec] : catalog_->endpoints) {
     if (spec.data_centre == options_.data_centre &&
-        RendezvousAmong(name, live, self_.incarnation, options_.probers)) {
-      duty.push_back(name);
+        RendezvousAmong(name, candidates_, self_.incarnation,
+                        options_.probers)) {
+      duty.endpoints.push_back(name);
     }
   }
-  const int instances = std::max<int>(1, static_cast<int>(live.size()));
-  if (duty != probe_duty_ || instances != told_instances_) {
-    probe_duty_ = duty;
-    told_instances_ = instances;
-    notices_.push_back(ProbeDuty{std::move(duty), instances});
-  }
+  duty.instances = std::max<int>(1, static_cast<int>(candidates_.size()));
+  notices_.push_back(std::move(duty));
 }
 
 void Coordinator::ReportEndpoints(std::vector<EndpointNews> news,
@@ -786,6 +804,7 @@
 
 void Coordinator::Drain() {
   draining_ = true;
+  roles_at_ = Millis(-1);
 }
 
 bool Coordinator::HoldsCharge(uint64_t attempt) const {
@@ -856,8 +875,7 @@
   std::map<std::string, uint64_t> reads;
   reads[kControlStream] = control_.read_offset();
   for (const auto& shard : shards_) {
-    const bool shares =
-        shard->view().fold().HeldBy(self_.incarnation) > 0;
+    const bool shares = shard->view().fold().HeldBy(self_.incarnation) > 0;
     if (shares || shard->Needed(Serving(now, shard->number()))) {
       reads[shard->stream()] = shard->view().read_offset();
     }
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -200,6 +200,8 @@
   void Deliver(Millis now, Millis wall);
   void TellSettled();
   void Collect(LedgerShard& shard, Outbox& outbox);
+  //! Takes roles anew where the set of candidates has changed.
+  void RefreshRoles(Millis now) const;
   uint64_t KeeperOf(Millis now, uint32_t shard) const;
   bool Serving(Millis now, uint32_t shard) const;
   std::vector<uint64_t> SweepMembers() const;
@@ -242,8 +244,14 @@
   std::vector<EndpointNews> own_news_;
   std::vector<Placer::EndpointState> endpoint_states_;
   std::map<std::string, int> demand_;
-  std::vector<std::string> probe_duty_;
-  int told_instances_ = 0;
+  uint64_t duty_version_ = 0;  //!< Configuration that the duty is of.
+  uint64_t duty_roles_ = 0;    //!< And count of role changes.
+  // Roles follow from the candidates alone and are worked out when those
+  // change, since each takes a hash a candidate.
+  mutable Millis roles_at_{-1};
+  mutable std::vector<uint64_t> candidates_;
+  mutable std::vector<uint64_t> keepers_;  //!< By shard.
+  mutable uint64_t role_changes_ = 0;
   Millis peer_config_asked_;
   bool control_caught_up_ = false;
   Millis term_asked_;
--- a/src/coordination/exit_sweep.cpp
+++ b/src/coordination/exit_sweep.cpp
@@ -43,7 +43,8 @@
     std::span<const uint64_t> members) {
   std::vector<Complete> complete;
   for (auto it = sweeps_.begin(); it != sweeps_.end();) {
-    const auto& [exited, sweep] = *it;
+    const uint64_t exited = it->first;
+    const Sweep& sweep = it->second;
     const bool all =
         std::all_of(members.begin(), members.end(), [&](uint64_t member) {
           return member == exited || sweep.reporters.contains(member);
--- a/src/coordination/membership.cpp
+++ b/src/coordination/membership.cpp
@@ -6,8 +6,17 @@
 
 #include <glog/logging.h>
 
+#include "state/digest.h"
+
 namespace tamaracktrail {
 
+namespace {
+
+constexpr int64_t kDriftDivisor = 2000;  //!< 500 parts in a million.
+constexpr int64_t kRounding = 1;         //!< Millisecond clocks.
+
+}  // namespace
+
 Membership::Membership(InstanceId self,
                        std::string data_centre,
                        Options options)
@@ -57,10 +66,42 @@
   peer.draining = heartbeat.draining;
   if (heartbeat.echo_of == self_.incarnation) {
     peer.echoed_at = heartbeat.echo;
+    TightenOffset(now, heartbeat, peer);
+  } else {
+    due_[from.address] = now;  // The peer has not heard of this instance yet.
   }
   return true;
 }
 
+void Membership::TightenOffset(Millis now,
+                               const Heartbeat& heartbeat,
+                               Peer& peer) {
+  // The peer sent this after it had our heartbeat of time `echo`. An older
+  // bound loses what the two clocks may have drifted apart since.
+  const Millis bound = heartbeat.echo - heartbeat.sent_at;
+  if (peer.clock_offset.has_value()) {
+    const int64_t age = (now - peer.offset_at).count();
+    const Millis old =
+        *peer.clock_offset - Millis(age / kDriftDivisor + kRounding);
+    peer.clock_offset = std::max(old, bound);
+  } else {
+    peer.clock_offset = bound;
+  }
+  peer.offset_at = now;
+}
+
+std::optional<Millis> Membership::LocalTime(const Peer& peer, Millis time) {
+  if (!peer.clock_offset.has_value()) {
+    return std::nullopt;
+  }
+  return time + *peer.clock_offset;
+}
+
+Millis Membership::Period() const {
+  const auto n = static_cast<int64_t>(peers_.size());
+  return std::max(options_.period, options_.period_per_peer * n);
+}
+
 void Membership::OnExit(uint64_t incarnation) {
   exited_.try_emplace(incarnation, Millis());
   for (auto& [address, peer] : peers_) {
@@ -71,8 +112,7 @@
 }
 
 std::vector<std::string> Membership::Due(Millis now) {
-  const auto n = static_cast<int64_t>(peers_.size());
-  const Millis period = std::max(options_.period, options_.period_per_peer * n);
+  const Millis period = Period();
   std::vector<std::string> due;
   for (const auto& [address, peer] : peers_) {
     if (!peer.listed && !Live(now, peer)) {
@@ -80,7 +120,12 @@
     }
     Millis& at = due_[address];
     if (now >= at) {
-      at = now + period;
+      // Jitter, so that two peers' heartbeats do not keep one phase and the
+      // bound on their clocks becomes tight.
+      const auto n =
+          static_cast<int64_t>(StableHash(address, sequence_) %
+                               static_cast<uint64_t>(period.count()));
+      at = now + Millis(period.count() * 3 / 4 + n / 2);
       due.push_back(address);
     }
   }
@@ -107,7 +152,9 @@
 }
 
 bool Membership::Live(Millis now, const Peer& peer) const {
-  const Millis oldest = now - options_.suspect_after;
+  const Millis patience =
+      std::max(options_.suspect_after, Period() * options_.suspect_periods);
+  const Millis oldest = now - patience;
   return peer.incarnation != 0 && peer.heard_at.has_value() &&
          *peer.heard_at > oldest && peer.echoed_at.has_value() &&
          *peer.echoed_at > oldest;
--- a/src/coordination/membership.h
+++ b/src/coordination/membership.h
@@ -25,6 +25,7 @@
     Millis period{400};          //!< Between heartbeats to one peer.
     Millis period_per_peer{20};  //!< Lower bound of the period, times peers.
     Millis suspect_after{2000};
+    int64_t suspect_periods = 4;  //!< Or these, where they are longer.
   };
 
   struct Peer {
@@ -35,6 +36,9 @@
     std::optional<Millis> heard_at;
     Millis peer_sent_at;              //!< To be echoed.
     std::optional<Millis> echoed_at;  //!< When we sent what the peer echoed.
+    //! This clock's time is at least the peer's clock plus this.
+    std::optional<Millis> clock_offset;
+    Millis offset_at;
     uint64_t config_version = 0;
     bool draining = false;
     bool listed = true;
@@ -56,6 +60,10 @@
   //! The incarnation's process has ended.
   void OnExit(uint64_t incarnation);
 
+  //! Lower bound, by this instance's clock, of the time at which the peer's
+  //! clock showed `time`; nullopt before the first echo.
+  static std::optional<Millis> LocalTime(const Peer& peer, Millis time);
+
   //! Peers that are due a heartbeat now; each is due again one period later.
   std::vector<std::string> Due(Millis now);
 
@@ -87,6 +95,8 @@
 
  private:
   bool Live(Millis now, const Peer& peer) const;
+  Millis Period() const;
+  static void TightenOffset(Millis now, const Heartbeat& heartbeat, Peer& peer);
 
   InstanceId self_;
   std::string data_centre_;
--- a/src/state/control_fold.cpp
+++ b/src/state/control_fold.cpp
@@ -108,9 +108,8 @@
   state.seen = clock_.now();
   // One attempt may crash a second endpoint when it is repeated.
   const uint64_t run = StableHash(record.endpoint, record.attempt);
-  return state.crashed_runs.insert(run).second
-             ? FoldVerdict::kAccepted
-             : FoldVerdict::kRepeat;
+  return state.crashed_runs.insert(run).second ? FoldVerdict::kAccepted
+                                               : FoldVerdict::kRepeat;
 }
 
 FoldVerdict ControlFold::On(const Trial& record, const FoldContext&) {
--- a/src/transport/entry_task.cpp
+++ b/src/transport/entry_task.cpp
@@ -215,8 +215,8 @@
     return demand;
   }
   for (const auto& [name, placement] : catalog_->placements) {
-    const std::string& service = placement.service;
-    const std::string& target = placement.target;
+    const std::string service = placement.service;
+    const std::string target = placement.target;
     const auto copies = std::count_if(
         states.begin(), states.end(), [&](const Placer::EndpointState& it) {
           return it.service == service &&
--- a/tests/coordination/decisions_test.cpp
+++ b/tests/coordination/decisions_test.cpp
@@ -62,6 +62,36 @@
   EXPECT_EQ(it.LivePeers(Millis(1000)).size(), 1u);
 }
 
+TEST(MembershipTest, PeersClockIsBoundedFromBelowByTheTightestEcho) {
+  Membership it({"10.0.0.1:1", 1}, "dc", {});
+  std::optional<uint64_t> replaced;
+  Heartbeat loose = Beat(2, 1, 1, Millis(1000));
+  loose.sent_at = Millis(500900);  // 900 ms after it had the echoed one.
+  it.OnHeartbeat(Millis(1901), loose, replaced);
+  Heartbeat tight = Beat(2, 2, 1, Millis(2000));
+  tight.sent_at = Millis(501010);
+  it.OnHeartbeat(Millis(2011), tight, replaced);
+  const Membership::Peer& peer = *it.ByIncarnation(2);
+  EXPECT_EQ(Membership::LocalTime(peer, Millis(501010)), Millis(2000));
+  loose.sequence = 3;
+  loose.echo = Millis(3000);
+  loose.sent_at = Millis(502900);
+  it.OnHeartbeat(Millis(3901), loose, replaced);
+  EXPECT_EQ(Membership::LocalTime(peer, Millis(502900)), Millis(3889));
+}
+
+TEST(MembershipTest, ManyPeersDoNotMakeEachOtherSuspects) {
+  Membership it({"10.0.0.1:1", 1}, "dc", {});
+  std::vector<std::string> seeds;
+  for (int i = 2; i < 58; ++i) {
+    seeds.push_back("10.0.0." + std::to_string(i) + ":1");
+  }
+  it.SetSeeds(seeds);
+  std::optional<uint64_t> replaced;
+  it.OnHeartbeat(Millis(10000), Beat(2, 1, 1, Millis(9000)), replaced);
+  EXPECT_EQ(it.LivePeers(Millis(12500)).size(), 1u);
+}
+
 // Sweeps.
 
 TEST(ExitSweepTest, WaitsForEachMemberAndKeepsTheLargestOfAnAttempt) {
--- a/tests/soak/fleet_run.cpp
+++ b/tests/soak/fleet_run.cpp
@@ -124,7 +124,7 @@
     ends_.emplace_back(fleet_.now() + time, std::move(end));
   }
 
-  void InjectFault() {
+  void EndFaults() {
     std::vector<std::pair<Millis, std::function<void()>>> later;
     for (auto& [time, end] : ends_) {
       if (time <= fleet_.now()) {
@@ -134,6 +134,10 @@
       }
     }
     ends_ = std::move(later);
+  }
+
+  void InjectFault() {
+    EndFaults();
     const Millis time(Draw(200, 15000));
     const size_t a = AnyInstance();
     const size_t b = AnyInstance();
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -386,7 +386,9 @@
 
 void FakeFleet::MarkLost(size_t killed) {
   const Coordinator& dead = *nodes_[killed].coordinator;
-  for (auto& [attempt, told] : told_) {
+  for (auto& entry : told_) {
+    const uint64_t attempt = entry.first;
+    Told& told = entry.second;
     if (!told.settling || told.lost) {
       continue;
     }
--- a/tests/support/stand_in_engine.cpp
+++ b/tests/support/stand_in_engine.cpp
@@ -3,9 +3,9 @@
 #include <libsoup/soup.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "state/digest.h"
 #include "transport/clock.h"
@@ -30,6 +30,7 @@
 namespace {
 
 constexpr size_t kPrefixBytes = 1024;
+constexpr int kDecimal = 10;
 
 std::string PromptOf(const json& body) {
   std::string prompt = body.value("prompt", "");
@@ -137,8 +138,10 @@
   stream->chat = path.find("chat") != std::string::npos;
   stream->attempt = Header(message, "X-Attempt-Id");
   stream->words = WordsOf(stream->prompt, body.value("max_tokens", 16));
-  absl::SimpleAtoi(Header(message, "X-Resume-From"), &stream->next);
-  absl::SimpleAtoi(Header(message, "X-Priority"), &stream->priority);
+  stream->next = std::strtoull(Header(message, "X-Resume-From").c_str(),
+                               nullptr, kDecimal);
+  stream->priority = static_cast<int>(
+      std::strtol(Header(message, "X-Priority").c_str(), nullptr, kDecimal));
   if (Switch("wrong_attempt", false)) {
     switches()["wrong_attempt"] = false;
     stream->wrong_at = stream->next + 1;
