--- a/bench/routing_study.cpp
+++ b/bench/routing_study.cpp
@@ -64,8 +64,8 @@
       queues_.emplace_back(AdmissionQueue::Options{});
     }
     // Arrivals at load 1 fill all engines when half of the prompts hit.
-    const double service = static_cast<double>(
-        kDecode.count() + kMissPrefill.count() / 2 + kHitPrefill.count() / 2);
+    const int64_t prefill = (kMissPrefill + kHitPrefill).count() / 2;
+    const auto service = static_cast<double>(kDecode.count() + prefill);
     rate_ = load * kEngines * kCapacity / service;
     for (int i = 0; i < kPrefixes; ++i) {
       weights_.push_back(1.0 / (i + 1));
--- a/src/transport/coordination_task.h
+++ b/src/transport/coordination_task.h
@@ -35,7 +35,7 @@
     std::string list_url;  //!< Empty where the settings name the peers.
     std::vector<std::string> peers;
     Coordinator::Options coordinator;
-    Millis read_wait{2000};  //!< Longest wait of a read for new entries.
+    Millis read_wait{8000};  //!< Longest wait of a read for new entries.
   };
 
   using OnNotices = std::function<void(std::vector<EntryNotice>)>;
--- a/src/transport/entry_task.cpp
+++ b/src/transport/entry_task.cpp
@@ -21,7 +21,7 @@
 
 namespace {
 
-constexpr Millis kTick{40};
+constexpr Millis kTick{50};
 constexpr Millis kReportPeriod{200};
 constexpr Millis kPauseNoticed{700};
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -6,5 +6,5 @@
 git ls-files '*.h' '*.cpp' | xargs clang-format --dry-run --Werror
 cmake -B build -G Ninja >/dev/null
 git ls-files 'src/*.cpp' 'tests/*.cpp' 'examples/*.cpp' 'bench/*.cpp' |
-  xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet 2>build/tidy.log ||
+  xargs -P "$(nproc)" -n 2 clang-tidy -p build --quiet --extra-arg=-Wno-unknown-warning-option 2>build/tidy.log ||
   { cat build/tidy.log; exit 1; }
