--- a/bench/scale_study.cpp
+++ b/bench/scale_study.cpp
@@ -1,7 +1,10 @@
 #include <malloc.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <cmath>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -10,6 +13,8 @@
 
 #include <glog/logging.h>
 
+#include "absl/strings/escaping.h"
+#include "cli/audit.h"
 #include "coordination/coordinator.h"
 #include "coordination/endpoint_table.h"
 #include "protocol/frame_codec.h"
@@ -241,6 +246,45 @@
   Report("table_bytes_per_endpoint", memory);
 }
 
+//! Time of audit verify over an export of charges.
+void MeasureAudit() {
+  std::vector<Point> micros;
+  const std::string folder = std::filesystem::temp_directory_path() /
+                             ("scale_study_" + std::to_string(getpid()));
+  for (const int n : {20000, 40000, 80000, 160000}) {
+    std::filesystem::create_directories(folder);
+    const BatchCodec codec("a key for tests");
+    std::ofstream out(folder + "/ledger-0.jsonl");
+    std::string previous;
+    uint64_t sequence = 0;
+    const auto add = [&](std::vector<Record> records) {
+      const Batch batch{7, ++sequence, previous, Millis(1), std::move(records)};
+      const std::string payload = codec.Encode(batch);
+      previous = BatchCodec::ChainDigest(payload);
+      out << "{\"offset\":" << sequence << ",\"data\":\""
+          << absl::Base64Escape(payload) << "\"}\n";
+    };
+    for (int i = 0; i < 100; ++i) {
+      add({TopUp{Organisation(i), "t", 1LL << 50, ""},
+           Draw{Organisation(i), 7, 1LL << 50}});
+    }
+    for (int i = 0; i < n; i += 10) {
+      std::vector<Record> records;
+      for (int k = i; k < i + 10; ++k) {
+        records.emplace_back(MakeCharge(k));
+      }
+      add(std::move(records));
+    }
+    out.close();
+    micros.emplace_back(
+        n, MicrosOf([&] {
+          CHECK(VerifyExport(folder, codec, kHour.count())->faults.empty());
+        }));
+    std::filesystem::remove_all(folder);
+  }
+  Report("audit_verify_us_per_charge_batches_of_10", micros);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
 
@@ -252,6 +296,7 @@
   google::InitGoogleLogging(argv[0]);
   tamaracktrail::MeasureBudgets();
   tamaracktrail::MeasureKeys();
+  tamaracktrail::MeasureAudit();
   tamaracktrail::MeasureHeartbeats();
   tamaracktrail::MeasureEndpoints();
   tamaracktrail::MeasureConfiguration();
