Split the coordinator and move the transport's own parts aside

Change: the content guard is a class of its own; exits and ticks of the coordinator stand in a second file; src/transport/internal holds what only the transport uses.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -11,16 +11,6 @@
 
 namespace tamaracktrail {
 
-namespace {
-
-const char kControlStream[] = "control";
-constexpr Millis kTermRetry{3000};
-constexpr Millis kPeerConfigRetry{500};
-constexpr Millis kEndedMemory = kHour;
-constexpr uint64_t kOverdueFactor = 3;
-
-}  // namespace
-
 Coordinator::Coordinator(InstanceId self,
                          Options options,
                          const BatchCodec* codec)
@@ -31,6 +21,7 @@
       control_(codec, ControlFold(options_.loads_per_minute)),
       control_writer_(self.incarnation, codec, options_.ledger.writer),
       custody_(self.incarnation, options_.custody),
+      content_(self.incarnation, options_.content_wait, &control_.fold()),
       placer_(options_.data_centre, options_.placer) {
   CHECK_GT(options_.shards, 0u);
   for (uint32_t i = 0; i < options_.shards; ++i) {
@@ -245,8 +236,7 @@
 }
 
 void Coordinator::Handle(Millis, Millis, uint64_t, const CrashNotice& it) {
-  crash_notices_[it.crash.content].insert(
-      StableHash(it.crash.endpoint, it.crash.attempt));
+  content_.OnNotice(it.crash);
 }
 
 void Coordinator::Handle(Millis,
@@ -265,65 +255,13 @@
   }
 }
 
-// Exits.
-
-void Coordinator::OnExitEvidence(Millis now,
-                                 uint64_t incarnation,
-                                 const std::string& evidence) {
-  if (incarnation == self_.incarnation) {
-    return;
-  }
-  if (!exit_evidence_.try_emplace(incarnation, evidence).second) {
-    return;
-  }
-  LOG(INFO) << "event=exit_evidence incarnation=" << Hex(incarnation)
-            << " evidence=\"" << evidence << "\"";
-  MarkExited(now, incarnation);
-}
-
-void Coordinator::MarkExited(Millis now, uint64_t incarnation) {
-  membership_.OnExit(incarnation);
-  exited_now_.push_back(incarnation);
-  swept_at_[incarnation] = now;
-  sweep_.Start(incarnation);
-}
-
-std::vector<KeptShare> Coordinator::OwnOrphans(uint64_t holder) const {
-  std::vector<KeptShare> kept = custody_.HeldFor(holder);
-  for (const auto& [attempt, it] : reservations_) {
-    if (it.holder == holder) {
-      kept.push_back({it.organisation, attempt, it.tokens});
-    }
-  }
-  return kept;
-}
-
-std::vector<uint64_t> Coordinator::SweepMembers() const {
-  std::vector<uint64_t> members = control_.fold().LiveIn(options_.data_centre);
-  std::erase_if(members, [this](uint64_t it) {
-    return it == self_.incarnation || exit_evidence_.contains(it);
-  });
-  return members;
-}
-
-std::map<std::string, uint64_t> Coordinator::Silent(Millis now) const {
-  std::map<std::string, uint64_t> silent;
-  const std::vector<uint64_t> live = membership_.LivePeers(now);
-  for (const uint64_t it : SweepMembers()) {
-    if (std::find(live.begin(), live.end(), it) == live.end()) {
-      silent[control_.fold().members().at(it).address] = it;
-    }
-  }
-  return silent;
-}
-
 // The log.
 
 void Coordinator::OnLogEntries(Millis now,
                                const std::string& stream,
                                std::span<const LogEntry> entries,
                                bool at_end) {
-  if (stream == kControlStream) {
+  if (stream == ControlStreamName()) {
     for (const LogEntry& entry : entries) {
       for (const AppliedBatch& it : control_.Feed(entry)) {
         OnControlApplied(now, it);
@@ -373,7 +311,7 @@
 }
 
 void Coordinator::OnAppended(Millis now, const std::string& stream, bool ok) {
-  if (stream == kControlStream) {
+  if (stream == ControlStreamName()) {
     control_writer_.OnAppended(now, ok);
     return;
   }
@@ -490,345 +428,40 @@
 
 // Content that has crashed endpoints.
 
-size_t Coordinator::CrashCount(const std::string& content) const {
-  const size_t recorded = control_.fold().CrashCount(content);
-  auto it = crash_notices_.find(content);
-  const size_t told = it == crash_notices_.end() ? 0 : it->second.size();
-  return std::max(recorded, told);
-}
-
 void Coordinator::CheckContent(Millis now,
                                uint64_t attempt,
                                const std::string& content) {
-  content_checks_[attempt] =
-      ContentCheck{content, now + options_.content_wait, false};
-  DecideContent(now, attempt);
+  Outbox outbox;
+  content_.Check(now, attempt, content, outbox);
+  AppendControl(outbox);
 }
 
 void Coordinator::ReportCrash(Millis now,
                               uint64_t attempt,
                               const Crash& crash) {
-  control_writer_.Add(crash);
-  crash_notices_[crash.content].insert(
-      StableHash(crash.endpoint, crash.attempt));
-  for (const uint64_t peer : membership_.LivePeers(now)) {
-    letters_.push_back({peer, CrashNotice{crash}});
-  }
-  CheckContent(now, attempt, crash.content);
+  Outbox outbox;
+  content_.OnCrash(now, attempt, crash, membership_.LivePeers(now), outbox);
+  AppendControl(outbox);
 }
 
 void Coordinator::ReportContentEnd(uint64_t attempt,
                                    const std::string& content,
                                    bool well) {
-  if (control_.fold().TrialOf(content) != attempt) {
-    return;
-  }
-  if (well) {
-    crash_notices_.erase(content);
-  }
-  control_writer_.Add(Acquit{content, attempt, well});
-}
-
-void Coordinator::DecideContent(Millis now, uint64_t attempt) {
-  constexpr size_t kMostCrashes = 2;
-  ContentCheck& check = content_checks_.at(attempt);
-  const size_t crashes = CrashCount(check.content);
-  const std::optional<uint64_t> trial = control_.fold().TrialOf(check.content);
-  ResultCode code = ResultCode::kOk;
-  if (crashes >= kMostCrashes) {
-    code = ResultCode::kPoisonRequest;
-  } else if (crashes == 1 && trial.has_value() && *trial != attempt) {
-    code = ResultCode::kContentOnTrial;
-  } else if (crashes == 1 && trial != attempt) {
-    if (!check.recorded) {
-      check.recorded = true;
-      control_writer_.Add(Trial{check.content, attempt, self_.incarnation});
-    }
-    if (now < check.deadline) {
-      return;
-    }
-    code = ResultCode::kLogUnavailable;
-  }
-  notices_.push_back(ContentVerdict{attempt, code});
-  content_checks_.erase(attempt);
-}
-
-void Coordinator::TickContentChecks(Millis now) {
-  std::vector<uint64_t> attempts;
-  for (const auto& [attempt, check] : content_checks_) {
-    attempts.push_back(attempt);
-  }
-  for (const uint64_t it : attempts) {
-    DecideContent(now, it);
-  }
-}
-
-// Time.
-
-void Coordinator::OnTick(Millis now, Millis wall) {
-  JoinFleet(now);
-  CatchUpConfiguration(now);
-  TickContentChecks(now);
-  TickCustody(now);
-  TickSweeps(now);
-  TickShards(now, wall);
-  TickPlacer(now);
-  TickProbeDuty(now);
-  std::erase_if(ended_, [&](const auto& it) {
-    return it.second.at + kEndedMemory < now;
-  });
-  Deliver(now, wall);
-}
-
-void Coordinator::JoinFleet(Millis now) {
-  if (!started_at_.has_value()) {
-    started_at_ = now;
-    control_writer_.Add(
-        Join{self_.incarnation, self_.address, options_.data_centre});
-  }
-  if (ready_ || !joined() || !control_caught_up_ || catalog_ == nullptr) {
-    return;
-  }
-  const auto& peers = membership_.peers();
-  const bool all_heard =
-      !peers.empty() && membership_.HeardPeers(now) == peers.size();
-  if (all_heard || now >= *started_at_ + options_.settle) {
-    ready_ = true;
-    roles_at_ = Millis(-1);
-    notices_.push_back(CatalogNotice{catalog_});
-  }
-}
-
-bool Coordinator::joined() const {
-  return control_.fold().members().contains(self_.incarnation);
-}
-
-void Coordinator::CatchUpConfiguration(Millis now) {
-  if (now < peer_config_asked_ + kPeerConfigRetry) {
-    return;
-  }
-  for (const auto& [address, peer] : membership_.peers()) {
-    if (peer.config_version > config_version_ && peer.incarnation != 0) {
-      peer_config_asked_ = now;
-      letters_.push_back({peer.incarnation, ConfigRequest{config_version_}});
-      return;
-    }
-  }
-}
-
-void Coordinator::TickCustody(Millis now) {
   Outbox outbox;
-  const std::vector<uint64_t> peers = membership_.LivePeers(now);
-  custody_.OnTick(now, peers, outbox);
-  AppendCustody(outbox);
-  std::erase_if(custody_tickets_, [&](const CustodyTicket& it) {
-    const bool confirmed = shards_[it.shard]->writer().Confirmed(it.ticket);
-    if (confirmed) {
-      custody_.OnConfirmed(it.attempt, outbox);
-    }
-    return confirmed;
-  });
-  AppendCustody(outbox);
-  TellSettled();
+  content_.OnEnd(attempt, content, well, outbox);
+  AppendControl(outbox);
 }
 
-void Coordinator::TellSettled() {
-  for (const ChargeCustody::Settled& it : custody_.TakeSettled()) {
-    const bool safe = it.safety == ChargeCustody::Safety::kSafe;
-    notices_.push_back(SettledNotice{it.attempt, safe});
-  }
-}
-
-void Coordinator::TickSweeps(Millis now) {
-  StartSweeps(now);
-  if (!control_caught_up_) {
-    return;  // The members are not known yet.
-  }
-  const std::vector<uint64_t> members = SweepMembers();
-  Outbox outbox;
-  sweep_.OnTick(now, members, outbox);
-  AppendCustody(outbox);
-  for (ExitSweep::Complete& it : sweep_.TakeComplete(members)) {
-    const OrphanReport own{
-        it.exited, self_.incarnation, OwnOrphans(it.exited), {}};
-    std::map<uint64_t, KeptShare> kept;
-    for (const KeptShare& share : it.kept) {
-      kept[share.attempt] = share;
-    }
-    for (const KeptShare& share : own.kept) {
-      kept[share.attempt] = share;
-    }
-    std::vector<KeptShare> all;
-    for (const auto& [attempt, share] : kept) {
-      all.push_back(share);
-    }
-    for (auto& shard : shards_) {
-      shard->OnEntryExit(it.exited, outbox);
-      Collect(*shard, outbox);
-      if (Serving(now, shard->number()) && shard->caught_up()) {
-        std::vector<KeptShare> own_kept = all;
-        std::erase_if(own_kept, [&](const KeptShare& share) {
-          return ShardOf(share.organisation) != shard->number();
-        });
-        shard->OnSweep(it.exited, std::move(own_kept));
-      }
-    }
-    const auto member = control_.fold().members().find(it.exited);
-    const bool unrecorded =
-        member != control_.fold().members().end() && !member->second.exited;
-    if (unrecorded) {
-      control_writer_.Add(Exit{it.exited, exit_evidence_[it.exited]});
-    }
-  }
-}
-
-void Coordinator::StartSweeps(Millis now) {
-  // An earlier incarnation at this instance's own address is gone, because
-  // this process could bind it.
-  for (const auto& [incarnation, member] : control_.fold().members()) {
-    if (!member.exited && member.address == self_.address &&
-        incarnation != self_.incarnation) {
-      OnExitEvidence(now, incarnation, "its address is bound by another");
-    }
-  }
-  for (const auto& it : exit_evidence_) {
-    const uint64_t incarnation = it.first;
-    Millis& at = swept_at_[incarnation];
-    if (now < at + options_.resweep) {
-      continue;
-    }
-    at = now;
-    const bool stuck =
-        std::any_of(shards_.begin(), shards_.end(), [&](const auto& shard) {
-          return Serving(now, shard->number()) &&
-                 shard->view().fold().HeldBy(incarnation) > 0;
-        });
-    if (stuck) {
-      sweep_.Start(incarnation);
-    }
-  }
-}
-
-void Coordinator::TickShards(Millis now, Millis wall) {
-  const std::vector<uint64_t> suspected = membership_.Suspected(now);
-  std::set<std::string> centres;
-  for (const auto& [incarnation, member] : control_.fold().members()) {
-    if (!member.exited) {
-      centres.insert(member.data_centre);
-    }
-  }
-  for (auto& shard : shards_) {
-    std::string designated;
-    uint64_t best = 0;
-    for (const std::string& it : centres) {
-      const uint64_t weight = RendezvousWeight(shard->stream(), it);
-      if (weight >= best) {
-        best = weight;
-        designated = it;
-      }
-    }
-    Outbox outbox;
-    shard->keeper().SetSuspected({suspected.begin(), suspected.end()});
-    shard->OnTick(now, wall, Serving(now, shard->number()),
-                  designated == options_.data_centre, outbox);
-    Collect(*shard, outbox);
-  }
-  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
-  const bool designated =
-      RendezvousPick(kControlStream, live) == self_.incarnation;
-  const uint64_t limit =
-      options_.control_snapshot_records * (designated ? 1 : kOverdueFactor);
-  if (control_since_snapshot_ >= limit && control_.live()) {
-    control_since_snapshot_ = 0;
-    control_writer_.Add(control_.MakeSnapshot());
-  }
-}
-
-void Coordinator::TickPlacer(Millis now) {
-  const std::vector<uint64_t> live = membership_.Candidates(now, Idle());
-  const bool chosen = RendezvousPick("placer", live) == self_.incarnation;
-  const auto term = control_.fold().TermOf(options_.data_centre);
-  const bool held = term.has_value() && term->holder == self_.incarnation;
-  const bool wanted = catalog_ != nullptr && !catalog_->placements.empty() &&
-                      control_caught_up_ && chosen && !held;
-  if (wanted && now >= term_asked_ + kTermRetry) {
-    term_asked_ = now;
-    control_writer_.Add(Term{options_.data_centre, self_.incarnation});
-  }
-  placer_.SetTerm(now, held && !draining_ ? std::optional(term->fencing_number)
-                                          : std::nullopt);
-  if (catalog_ == nullptr) {
-    return;
-  }
-  std::vector<PlacementSpec> placements;
-  for (const auto& [name, it] : catalog_->placements) {
-    placements.push_back(it);
-  }
-  for (Order& it : placer_.Decide(now, placements, endpoint_states_, demand_)) {
+void Coordinator::AppendControl(Outbox& outbox) {
+  for (Record& it : outbox.records) {
     control_writer_.Add(std::move(it));
   }
-}
-
-void Coordinator::TickProbeDuty(Millis now) {
-  RefreshRoles(now);
-  const bool same =
-      duty_version_ == config_version_ && duty_roles_ == role_changes_;
-  if (catalog_ == nullptr || same) {
-    return;
-  }
-  duty_version_ = config_version_;
-  duty_roles_ = role_changes_;
-  ProbeDuty duty;
-  for (const auto& [name, spec] : catalog_->endpoints) {
-    if (spec.data_centre == options_.data_centre &&
-        RendezvousAmong(name, candidates_, self_.incarnation,
-                        options_.probers)) {
-      duty.endpoints.push_back(name);
-    }
+  for (Outbox::Letter& it : outbox.letters) {
+    letters_.push_back(std::move(it));
   }
-  duty.instances = std::max<int>(1, static_cast<int>(candidates_.size()));
-  notices_.push_back(std::move(duty));
-}
-
-void Coordinator::ReportEndpoints(std::vector<EndpointNews> news,
-                                  std::vector<Placer::EndpointState> states,
-                                  std::map<std::string, int> demand) {
-  own_news_ = std::move(news);
-  endpoint_states_ = std::move(states);
-  demand_ = std::move(demand);
-}
-
-void Coordinator::SetSeeds(const std::vector<std::string>& addresses) {
-  membership_.SetSeeds(addresses);
-}
-
-void Coordinator::Drain() {
-  draining_ = true;
-  roles_at_ = Millis(-1);
-}
-
-bool Coordinator::HoldsCharge(uint64_t attempt) const {
-  return custody_.Holds(attempt) ||
-         std::any_of(shards_.begin(), shards_.end(), [&](const auto& it) {
-           return it->keeper().HoldsCharge(attempt);
-         });
-}
-
-bool Coordinator::Drained() const {
-  if (custody_.size() > 0 || control_writer_.backlog() > 0) {
-    return false;
+  for (const ContentVerdict& it : content_.TakeVerdicts()) {
+    notices_.push_back(it);
   }
-  return std::all_of(shards_.begin(), shards_.end(), [this](const auto& it) {
-    return it->writer().backlog() == 0 &&
-           it->keeper().reservation_count() == 0 &&
-           it->keeper().pending_charge_count() == 0 &&
-           it->view().fold().HeldBy(self_.incarnation) == 0;
-  });
-}
-
-void Coordinator::Leave() {
-  leaving_ = true;
-  control_writer_.Add(Exit{self_.incarnation, "graceful shutdown"});
 }
 
 // Results.
@@ -841,7 +474,7 @@
                                                                Millis wall) {
   std::vector<AppendOrder> out;
   if (auto payload = control_writer_.NextAppend(now, wall)) {
-    out.push_back({kControlStream, *std::move(payload)});
+    out.push_back({ControlStreamName(), *std::move(payload)});
   }
   for (auto& shard : shards_) {
     if (auto payload = shard->writer().NextAppend(now, wall)) {
@@ -873,7 +506,7 @@
 
 std::map<std::string, uint64_t> Coordinator::Reads(Millis now) const {
   std::map<std::string, uint64_t> reads;
-  reads[kControlStream] = control_.read_offset();
+  reads[ControlStreamName()] = control_.read_offset();
   for (const auto& shard : shards_) {
     const bool shares = shard->view().fold().HeldBy(self_.incarnation) > 0;
     if (shares || shard->Needed(Serving(now, shard->number()))) {
--- a/src/coordination/coordinator.h
+++ b/src/coordination/coordinator.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "coordination/charge_custody.h"
+#include "coordination/content_guard.h"
 #include "coordination/coordinator_status.h"
 #include "coordination/endpoint_table.h"
 #include "coordination/entry_notice.h"
@@ -148,6 +149,8 @@
 
   uint32_t ShardOf(const std::string& organisation) const;
 
+  static std::string ControlStreamName() { return "control"; }
+
  private:
   struct OpenReservation {
     std::string organisation;
@@ -156,12 +159,6 @@
     int64_t tokens = 0;
   };
 
-  struct ContentCheck {
-    std::string content;
-    Millis deadline;
-    bool recorded = false;  //!< The trial is on its way to the log.
-  };
-
   struct Ended {
     std::string organisation;
     Millis at;
@@ -209,9 +206,7 @@
   void OnControlApplied(Millis now, const AppliedBatch& batch);
   void AdoptConfiguration(uint64_t version, const Configuration& configuration);
   void CatchUpConfiguration(Millis now);
-  void DecideContent(Millis now, uint64_t attempt);
-  size_t CrashCount(const std::string& content) const;
-  void TickContentChecks(Millis now);
+  void AppendControl(Outbox& outbox);
   void TickCustody(Millis now);
   void TickSweeps(Millis now);
   void TickShards(Millis now, Millis wall);
@@ -233,12 +228,11 @@
   std::vector<std::unique_ptr<LedgerShard>> shards_;
   ChargeCustody custody_;
   ExitSweep sweep_;
+  ContentGuard content_;
   Placer placer_;
   std::map<uint64_t, std::string> exit_evidence_;
   std::map<uint64_t, Millis> swept_at_;
-  std::map<uint64_t, OpenReservation> reservations_;         //!< By attempt.
-  std::map<uint64_t, ContentCheck> content_checks_;          //!< By attempt.
-  std::map<std::string, std::set<uint64_t>> crash_notices_;  //!< By content.
+  std::map<uint64_t, OpenReservation> reservations_;  //!< By attempt.
   std::vector<CustodyTicket> custody_tickets_;
   std::map<uint64_t, Ended> ended_;  //!< Without a charge, by attempt.
   std::vector<EndpointNews> own_news_;
--- a/src/transport/entry_calls.cpp
+++ b/src/transport/entry_calls.cpp
@@ -8,12 +8,12 @@
 #include "absl/strings/str_cat.h"
 #include "protocol/result_info.h"
 #include "state/digest.h"
-#include "transport/admission.h"
-#include "transport/caller_refusal.h"
 #include "transport/clock.h"
 #include "transport/coordination_task.h"
 #include "transport/endpoint_prober.h"
 #include "transport/http_client.h"
+#include "transport/internal/admission.h"
+#include "transport/internal/caller_refusal.h"
 #include "transport/metrics.h"
 
 namespace tamaracktrail {
--- a/src/transport/entry_calls.h
+++ b/src/transport/entry_calls.h
@@ -12,8 +12,8 @@
 #include "coordination/endpoint_table.h"
 #include "coordination/entry_notice.h"
 #include "coordination/retry_budget.h"
-#include "transport/entry_call.h"
 #include "transport/entry_limits.h"
+#include "transport/internal/entry_call.h"
 
 namespace tamaracktrail {
 
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -11,9 +11,9 @@
 #include "absl/strings/str_cat.h"
 #include "state/digest.h"
 #include "state/request_key.h"
-#include "transport/admission.h"
-#include "transport/caller_refusal.h"
 #include "transport/clock.h"
+#include "transport/internal/admission.h"
+#include "transport/internal/caller_refusal.h"
 #include "transport/metrics.h"
 
 namespace tamaracktrail {
--- a/src/transport/entry_task.cpp
+++ b/src/transport/entry_task.cpp
@@ -9,13 +9,13 @@
 
 #include <glog/logging.h>
 
-#include "transport/admission.h"
 #include "transport/clock.h"
 #include "transport/coordination_task.h"
 #include "transport/endpoint_prober.h"
 #include "transport/http_client.h"
+#include "transport/internal/admission.h"
+#include "transport/internal/status_json.h"
 #include "transport/metrics.h"
-#include "transport/status_json.h"
 
 namespace tamaracktrail {
 
--- a/src/transport/admission.h
+++ b/src/transport/internal/admission.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_ADMISSION_H_
-#define TRANSPORT_ADMISSION_H_
+#ifndef TRANSPORT_INTERNAL_ADMISSION_H_
+#define TRANSPORT_INTERNAL_ADMISSION_H_
 
 #include <cstdint>
 #include <memory>
@@ -7,7 +7,7 @@
 
 #include "coordination/flow_spec.h"
 #include "state/millis.h"
-#include "transport/entry_call.h"
+#include "transport/internal/entry_call.h"
 
 typedef struct _SoupServerMessage SoupServerMessage;
 
@@ -24,4 +24,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_ADMISSION_H_
+#endif  // TRANSPORT_INTERNAL_ADMISSION_H_
--- a/src/transport/caller_refusal.cpp
+++ b/src/transport/internal/caller_refusal.cpp
@@ -1,9 +1,9 @@
-#include "transport/caller_refusal.h"
+#include "transport/internal/caller_refusal.h"
 
 #include <glog/logging.h>
 
 #include "protocol/result_info.h"
-#include "transport/caller_stream.h"
+#include "transport/internal/caller_stream.h"
 #include "transport/metrics.h"
 
 namespace tamaracktrail {
--- a/src/transport/caller_refusal.h
+++ b/src/transport/internal/caller_refusal.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_CALLER_REFUSAL_H_
-#define TRANSPORT_CALLER_REFUSAL_H_
+#ifndef TRANSPORT_INTERNAL_CALLER_REFUSAL_H_
+#define TRANSPORT_INTERNAL_CALLER_REFUSAL_H_
 
 #include <string>
 
@@ -20,4 +20,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_CALLER_REFUSAL_H_
+#endif  // TRANSPORT_INTERNAL_CALLER_REFUSAL_H_
--- a/src/transport/caller_stream.cpp
+++ b/src/transport/internal/caller_stream.cpp
@@ -1,4 +1,4 @@
-#include "transport/caller_stream.h"
+#include "transport/internal/caller_stream.h"
 
 #include <libsoup/soup.h>
 #include <sys/socket.h>
--- a/src/transport/caller_stream.h
+++ b/src/transport/internal/caller_stream.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_CALLER_STREAM_H_
-#define TRANSPORT_CALLER_STREAM_H_
+#ifndef TRANSPORT_INTERNAL_CALLER_STREAM_H_
+#define TRANSPORT_INTERNAL_CALLER_STREAM_H_
 
 #include <functional>
 #include <string>
@@ -81,4 +81,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_CALLER_STREAM_H_
+#endif  // TRANSPORT_INTERNAL_CALLER_STREAM_H_
--- a/src/transport/entry_call.h
+++ b/src/transport/internal/entry_call.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_ENTRY_CALL_H_
-#define TRANSPORT_ENTRY_CALL_H_
+#ifndef TRANSPORT_INTERNAL_ENTRY_CALL_H_
+#define TRANSPORT_INTERNAL_ENTRY_CALL_H_
 
 #include <cstdint>
 #include <memory>
@@ -8,8 +8,8 @@
 #include "coordination/request_flow.h"
 #include "protocol/model_call.h"
 #include "state/millis.h"
-#include "transport/caller_stream.h"
-#include "transport/upstream_call.h"
+#include "transport/internal/caller_stream.h"
+#include "transport/internal/upstream_call.h"
 
 namespace tamaracktrail {
 
@@ -43,4 +43,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_ENTRY_CALL_H_
+#endif  // TRANSPORT_INTERNAL_ENTRY_CALL_H_
--- a/src/transport/peer_connection.cpp
+++ b/src/transport/internal/peer_connection.cpp
@@ -1,4 +1,4 @@
-#include "transport/peer_connection.h"
+#include "transport/internal/peer_connection.h"
 
 #include <gio/gio.h>
 
--- a/src/transport/peer_connection.h
+++ b/src/transport/internal/peer_connection.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_PEER_CONNECTION_H_
-#define TRANSPORT_PEER_CONNECTION_H_
+#ifndef TRANSPORT_INTERNAL_PEER_CONNECTION_H_
+#define TRANSPORT_INTERNAL_PEER_CONNECTION_H_
 
 #include <deque>
 #include <functional>
@@ -60,4 +60,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_PEER_CONNECTION_H_
+#endif  // TRANSPORT_INTERNAL_PEER_CONNECTION_H_
--- a/src/transport/status_json.cpp
+++ b/src/transport/internal/status_json.cpp
@@ -1,4 +1,4 @@
-#include "transport/status_json.h"
+#include "transport/internal/status_json.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/transport/status_json.h
+++ b/src/transport/internal/status_json.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_STATUS_JSON_H_
-#define TRANSPORT_STATUS_JSON_H_
+#ifndef TRANSPORT_INTERNAL_STATUS_JSON_H_
+#define TRANSPORT_INTERNAL_STATUS_JSON_H_
 
 #include <string>
 
@@ -12,4 +12,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_STATUS_JSON_H_
+#endif  // TRANSPORT_INTERNAL_STATUS_JSON_H_
--- a/src/transport/upstream_call.cpp
+++ b/src/transport/internal/upstream_call.cpp
@@ -1,4 +1,4 @@
-#include "transport/upstream_call.h"
+#include "transport/internal/upstream_call.h"
 
 #include <libsoup/soup.h>
 
--- a/src/transport/upstream_call.h
+++ b/src/transport/internal/upstream_call.h
@@ -1,5 +1,5 @@
-#ifndef TRANSPORT_UPSTREAM_CALL_H_
-#define TRANSPORT_UPSTREAM_CALL_H_
+#ifndef TRANSPORT_INTERNAL_UPSTREAM_CALL_H_
+#define TRANSPORT_INTERNAL_UPSTREAM_CALL_H_
 
 #include <functional>
 #include <memory>
@@ -56,4 +56,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // TRANSPORT_UPSTREAM_CALL_H_
+#endif  // TRANSPORT_INTERNAL_UPSTREAM_CALL_H_
--- a/src/transport/peer_mesh.cpp
+++ b/src/transport/peer_mesh.cpp
@@ -11,7 +11,7 @@
 #include "protocol/frame_codec.h"
 #include "state/digest.h"
 #include "transport/clock.h"
-#include "transport/peer_connection.h"
+#include "transport/internal/peer_connection.h"
 
 namespace tamaracktrail {
 
