Ignore the ledgers once the exit is recorded

Cause: one run of tools/faults.sh in eight ended an instance with exit code 134: a peer read its exit record at once, swept and released its empty share, and the release reached the leaving instance, whose keeper stops on a release while it runs. Ruled out: a share left behind, as the shutdown had returned all. Change: after Leave() ledger entries are not folded any more; the fake fleet leaves as the product does. Configuration gets a fault table.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -276,6 +276,11 @@
     }
     return;
   }
+  // After the exit is on its way, peers may release this instance's empty
+  // shares; that concerns it no more.
+  if (leaving_) {
+    return;
+  }
   for (auto& shard : shards_) {
     if (shard->stream() == stream) {
       Outbox outbox;
--- /dev/null
+++ b/tests/coordination/coordinator_test.cpp
@@ -0,0 +1,133 @@
+#include "coordination/coordinator.h"
+
+#include <gtest/gtest.h>
+
+#include "state/batch.h"
+#include "state/batch_codec.h"
+#include "support/fake_fleet.h"
+
+namespace tamaracktrail {
+namespace {
+
+class CoordinatorTest : public testing::Test {
+ protected:
+  CoordinatorTest() {
+    options_.data_centre = "dc";
+    options_.shards = 1;
+    coordinator_ = std::make_unique<Coordinator>(InstanceId{"10.0.0.1:1", 1},
+                                                 options_, &codec_);
+  }
+
+  //! The next entry of a stream, by a writer of its own.
+  void Feed(const std::string& stream, Record record) {
+    const uint64_t offset = ++ends_[stream];
+    const Batch batch{1000 + offset, 1, "", Millis(1), {std::move(record)}};
+    const std::vector<LogEntry> entries{{offset, codec_.Encode(batch)}};
+    coordinator_->OnLogEntries(now_, stream, entries, true);
+  }
+
+  BatchCodec codec_{"a key for tests"};
+  Coordinator::Options options_;
+  std::unique_ptr<Coordinator> coordinator_;
+  std::map<std::string, uint64_t> ends_;
+  Millis now_{1000};
+};
+
+// tools/faults.sh once ended with exit code 134: a peer's release arrived
+// between the instance's exit record and its end.
+TEST_F(CoordinatorTest, ReleaseAfterItsExitRecordDoesNotStopIt) {
+  coordinator_->Drain();
+  coordinator_->Leave();
+  Feed("ledger-0", Release{1, "swept", {}});
+}
+
+TEST_F(CoordinatorTest, ReleaseWhileItServesStopsIt) {
+  EXPECT_DEATH(Feed("ledger-0", Release{1, "operator", {}}), "released");
+}
+
+TEST_F(CoordinatorTest, ConfigurationNeverReverts) {
+  Feed("control", Configuration{0, "first", "", {}});
+  EXPECT_EQ(coordinator_->config_version(), 1u);
+  ConfigReply newer{7, Configuration{1, "next", "", {}}};
+  coordinator_->OnMessage(now_, now_, 2, newer);
+  EXPECT_EQ(coordinator_->config_version(), 7u);
+  coordinator_->OnMessage(now_, now_, 2, ConfigReply{3, {}});
+  EXPECT_EQ(coordinator_->config_version(), 7u);
+}
+
+TEST_F(CoordinatorTest, NoPartIsTakenBeforeJoinAndConfiguration) {
+  coordinator_->OnTick(now_, now_);
+  EXPECT_FALSE(coordinator_->ready());
+  Feed("control", Configuration{0, "first", "", {}});
+  coordinator_->OnTick(now_ + kMinute, now_);
+  EXPECT_FALSE(coordinator_->ready());
+  Feed("control", Join{1, "10.0.0.1:1", "dc"});
+  coordinator_->OnTick(now_ + kMinute * 2, now_);
+  EXPECT_TRUE(coordinator_->ready());
+}
+
+TEST_F(CoordinatorTest, ExitOfAnotherDataCentreStartsNoSweep) {
+  Feed("control", Join{5, "10.1.0.1:1", "other"});
+  Feed("control", Exit{5, "refused"});
+  EXPECT_EQ(coordinator_->Status(now_).open_sweeps, 0u);
+}
+
+// Configuration under faults, over the whole fleet.
+
+//! How a fleet is hindered while a configuration is published.
+struct SpreadCase {
+  const char* name;
+  std::function<void(FakeFleet&)> hinder;
+  std::function<void(FakeFleet&)> heal;
+};
+
+TEST(ConfigurationSpreadTest, InForceSixSecondsAfterAnInstanceCanHearOfIt) {
+  const SpreadCase kCases[] = {
+      {"no fault", [](auto&) {}, [](auto&) {}},
+      {"one data centre cut from the log",
+       [](auto& it) { it.CutFromLog(1, true); },
+       [](auto& it) { it.CutFromLog(1, false); }},
+      {"log down afterwards", [](auto& it) { it.SetLogDown(true); },
+       [](auto& it) { it.SetLogDown(false); }},
+      {"an instance restarts", [](auto& it) { it.Kill(0); },
+       [](auto& it) { it.Restart(0); }},
+      {"an instance is paused", [](auto& it) { it.Pause(1); },
+       [](auto& it) { it.Wake(1); }},
+  };
+  for (const SpreadCase& it : kCases) {
+    FakeFleet::Options options;
+    options.coordinator.shards = 1;
+    FakeFleet fleet(options);
+    fleet.Publish(0, "first");
+    fleet.RunFor(kSecond * 4);
+    it.hinder(fleet);
+    const uint64_t version =
+        fleet.Publish(fleet.coordinator(2).config_version(), "next");
+    fleet.RunFor(kSecond * 20);
+    it.heal(fleet);
+    fleet.RunFor(kSecond * 6);
+    for (size_t i = 0; i < fleet.size(); ++i) {
+      EXPECT_EQ(fleet.coordinator(i).config_version(), version) << it.name;
+    }
+  }
+}
+
+TEST(ConfigurationSpreadTest, InstanceCutFromTheLogCatchesUpFromAPeer) {
+  FakeFleet::Options options;
+  options.data_centres = 1;
+  options.coordinator.shards = 1;
+  FakeFleet fleet(options);
+  fleet.Publish(0, "first");
+  fleet.RunFor(kSecond * 4);
+  const uint64_t before = fleet.coordinator(0).config_version();
+  fleet.CutFromLog(0, true);
+  const uint64_t version = fleet.Publish(before, "next");
+  // One of the two has read it before the cut took effect on it.
+  fleet.coordinator(1).OnMessage(fleet.now(), fleet.now(), 99,
+                                 ConfigReply{version, {}});
+  fleet.RunFor(kSecond * 6);
+  EXPECT_EQ(fleet.coordinator(0).config_version(), version);
+}
+
+}  // namespace
+}  // namespace tamaracktrail
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -55,6 +55,7 @@
   node.alive = true;
   node.paused = false;
   node.draining = false;
+  node.leaving = false;
   node.held.clear();
   node.flows.clear();
   node.reading.clear();
@@ -114,8 +115,12 @@
         }
         if (node.draining && node.flows.empty() &&
             node.coordinator->Drained()) {
-          Kill(i);
-          return;
+          if (node.leaving) {
+            Kill(i);
+            return;
+          }
+          node.leaving = true;
+          node.coordinator->Leave();
         }
         Tick(i);
       },
--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -125,6 +125,7 @@
     bool alive = false;
     bool paused = false;
     bool draining = false;
+    bool leaving = false;
     std::unique_ptr<Coordinator> coordinator;
     std::unique_ptr<RetryBudget> retries;
     std::map<uint64_t, std::unique_ptr<RequestFlow>> flows;
--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -153,5 +153,6 @@
 "$bin" audit verify --settings "$work/b1.ini" --folder "$work/audit" >"$work/verify" || code=$?
 check "a changed record does not" 6 "$code"
 
+[ "$failed" = 0 ] || grep -hE -A3 'Check failed' "$work"/*.log || true
 echo "$passed passed, $failed failed"
 [ "$failed" = 0 ]
