--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -104,6 +104,41 @@
 for i in 1 2 3 4 5 6; do chat a1 "leave-$i" "words=2 $i" >/dev/null; done
 check "a leaving endpoint gets no new work" "$before" "$(stat_of engine-a1 runs)"
 control engine-a1 '{"leaving":false}'
+sleep 1.5
+
+# Broken streams: the answer stays whole, and the caller's own.
+text() { grep -oE '"content":"[^"]*"' | head -1; }
+whole=$(chat a1 whole-1 'words=9 resume' | text)
+for e in engine-a1 engine-a2; do
+  control $e '{"cut_after":4}'
+  check "a stream cut at $e is resumed to the same answer" "$whole" "$(chat a1 "cut-$e" 'words=9 resume' | text)"
+  control $e '{"cut_after":-1,"wrong_attempt":true}'
+  check "another call's chunk at $e is not passed on" "$whole" "$(chat a1 "wrong-$e" 'words=9 resume' | text)"
+  control $e '{"wrong_attempt":false}'
+done
+
+# A caller who leaves is not billed and may come again under its key.
+for e in engine-a1 engine-a2; do control $e '{"token_ms":60}'; done
+curl -sN -m 0.6 "${auth[@]}" -H "Idempotency-Key: gone-1" "$(url a1)/v1/chat/completions" -d "$(chat_body 'words=50 gone' true)" >"$work/gone" || true
+for e in engine-a1 engine-a2; do control $e '{"token_ms":3}'; done
+check "a caller who left can ask again" '"finish_reason":"stop"' "$(chat a1 gone-1 'words=3 gone' | finish)"
+gone_once() { [ "$(charges_of gone-1)" = 1 ]; }
+check "and is billed for that answer only" 0 "$(await 10 gone_once; echo $?)"
+
+# Callers over TLS.
+take_port a3
+take_port a3.peer
+openssl req -x509 -newkey rsa:2048 -nodes -days 2 -subj /CN=localhost \
+  -keyout "$work/tls.key" -out "$work/tls.pem" 2>"$work/openssl.out"
+write_settings a3 amman-1 "127.0.0.1:${port[a1.peer]}"
+printf '[tls]\ncertificate = %s\nprivate_key = %s\n' "$work/tls.pem" "$work/tls.key" >>"$work/a3.ini"
+start_instance a3
+wait_for -k "https://127.0.0.1:${port[a3]}/readyz"
+check "a caller over TLS is served" '"finish_reason":"stop"' "$(curl -sk "${auth[@]}" -H 'Idempotency-Key: tls-1' "https://127.0.0.1:${port[a3]}/v1/chat/completions" -d "$(chat_body 'words=3 tls' false)" | finish)"
+kill -TERM "${instance_pid[a3]}"
+code=0
+wait "${instance_pid[a3]}" || code=$?
+check "and its instance leaves with 0" 0 "$code"
 
 # A poison request, sent again with new keys.
 for i in 1 2 3 4; do
