Bound the shards an instance keeps and refuse keys that break log lines

Cause: plain rendezvous may give one of 56 instances three or four of 64 shards, and each costs 17 KB a second; a key with spaces or quotes would break the key=value lines. Change: a shard goes to the highest candidate that has less than its even part; keys are printable without spaces and quotes; a plot of the routing study.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -47,10 +47,13 @@
   }
   candidates_ = std::move(live);
   ++role_changes_;
-  keepers_.clear();
+  std::vector<std::string> streams;
   for (const auto& shard : shards_) {
-    const uint64_t keeper = RendezvousPick(shard->stream(), candidates_);
-    keepers_.push_back(keeper == 0 ? self_.incarnation : keeper);
+    streams.push_back(shard->stream());
+  }
+  keepers_ = RendezvousSpread(streams, candidates_);
+  if (keepers_.empty()) {
+    keepers_.assign(shards_.size(), self_.incarnation);
   }
 }
 
--- a/src/coordination/rendezvous.cpp
+++ b/src/coordination/rendezvous.cpp
@@ -1,6 +1,8 @@
 #include "coordination/rendezvous.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
 
 #include "state/digest.h"
 
@@ -29,6 +31,24 @@
   return best;
 }
 
+std::vector<uint64_t> RendezvousSpread(const std::vector<std::string>& keys,
+                                       std::span<const uint64_t> candidates) {
+  std::vector<uint64_t> picks;
+  if (candidates.empty()) {
+    return picks;
+  }
+  const size_t most = (keys.size() + candidates.size() - 1) / candidates.size();
+  std::map<uint64_t, size_t> counts;
+  for (const std::string& key : keys) {
+    std::vector<uint64_t> free;
+    std::copy_if(candidates.begin(), candidates.end(), std::back_inserter(free),
+                 [&](uint64_t it) { return counts[it] < most; });
+    picks.push_back(RendezvousPick(key, free));
+    ++counts[picks.back()];
+  }
+  return picks;
+}
+
 bool RendezvousAmong(const std::string& key,
                      std::span<const uint64_t> candidates,
                      uint64_t self,
--- a/src/coordination/rendezvous.h
+++ b/src/coordination/rendezvous.h
@@ -16,6 +16,12 @@
 uint64_t RendezvousPick(const std::string& key,
                         std::span<const uint64_t> candidates);
 
+//! A candidate for each key: the highest in rendezvous order that has fewer
+//! than its even part of the keys, rounded up. Empty for no candidate.
+//! Thread-safe.
+std::vector<uint64_t> RendezvousSpread(const std::vector<std::string>& keys,
+                                       std::span<const uint64_t> candidates);
+
 //! Whether `self` is among the `n` highest of `candidates`. Thread-safe.
 bool RendezvousAmong(const std::string& key,
                      std::span<const uint64_t> candidates,
--- a/src/transport/entry_server.cpp
+++ b/src/transport/entry_server.cpp
@@ -79,6 +79,14 @@
       left);
 }
 
+//! Keys stand in log lines and records as they come.
+bool IsSoundKey(const std::string& key) {
+  return key.size() <= kMaxKeyChars &&
+         std::all_of(key.begin(), key.end(), [](char it) {
+           return it > ' ' && it < '\x7f' && it != '"';
+         });
+}
+
 absl::Status TakeError(GError* ec) {
   const std::string message = ec->message;
   g_error_free(ec);
@@ -243,8 +251,9 @@
     return std::nullopt;
   }
   caller.key = HeaderOf(message, "Idempotency-Key");
-  if (caller.key.size() > kMaxKeyChars) {
-    Refuse(message, ResultCode::kBadRequest, "Idempotency-Key is too long");
+  if (!IsSoundKey(caller.key)) {
+    Refuse(message, ResultCode::kBadRequest,
+           "Idempotency-Key is too long or has spaces or quotes");
     return std::nullopt;
   }
   if (caller.key.empty()) {
--- a/tests/coordination/decisions_test.cpp
+++ b/tests/coordination/decisions_test.cpp
@@ -8,6 +8,7 @@
 #include "coordination/log_writer.h"
 #include "coordination/membership.h"
 #include "coordination/placer.h"
+#include "coordination/rendezvous.h"
 #include "state/batch_codec.h"
 
 namespace tamaracktrail {
@@ -92,6 +93,27 @@
   EXPECT_EQ(it.LivePeers(Millis(12500)).size(), 1u);
 }
 
+TEST(RendezvousTest, SpreadGivesNoCandidateMoreThanItsPart) {
+  std::vector<std::string> keys;
+  for (int i = 0; i < 64; ++i) {
+    keys.push_back("ledger-" + std::to_string(i));
+  }
+  for (const uint64_t n : {1, 2, 3, 56, 100}) {
+    std::vector<uint64_t> candidates;
+    for (uint64_t i = 1; i <= n; ++i) {
+      candidates.push_back(i * 7919);
+    }
+    std::map<uint64_t, size_t> counts;
+    for (const uint64_t it : RendezvousSpread(keys, candidates)) {
+      ++counts[it];
+    }
+    for (const auto& [candidate, count] : counts) {
+      EXPECT_LE(count, (64 + n - 1) / n);
+    }
+  }
+  EXPECT_TRUE(RendezvousSpread(keys, {}).empty());
+}
+
 // Sweeps.
 
 TEST(ExitSweepTest, WaitsForEachMemberAndKeepsTheLargestOfAnAttempt) {
--- a/tools/measure.sh
+++ b/tools/measure.sh
@@ -14,5 +14,6 @@
   tools/overhead.sh 3000 16
   tools/overhead.sh 1000 1
 } >"$out/overhead.txt"
+tools/plot.sh
 grep '^fit' "$out/scale_study.csv"
 cat "$out/overhead.txt"
