--- a/tests/support/fake_fleet.h
+++ b/tests/support/fake_fleet.h
@@ -146,6 +146,8 @@
   void Act(size_t i, uint64_t attempt, const FlowAction& action);
   void RunCall(size_t i, uint64_t attempt, int64_t worst_case);
   void MarkLost(size_t killed);
+  static constexpr Millis kWallStart{1700000000000};
+
   static void JudgeKey(const std::string& key,
                        const std::vector<const Told*>& tries,
                        bool charged,
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -4,6 +4,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 tools/build.sh
+build/tamaracktrail check examples/qasr/*/*.ini
+build/read_ledger
 build/tests/unit_tests --gtest_brief=1
 tools/faults.sh
 tools/known_red.sh
