Run a publishers' race and a placement for real, add cache events

Cause: two publishers on one base and an order to an endpoint had only unit tests; the engine stand-in told nothing of its cache.

--- a/tests/support/stand_in_engine.cpp
+++ b/tests/support/stand_in_engine.cpp
@@ -69,8 +69,10 @@
 
 void StandInEngine::OnRequest(SoupServerMessage* message,
                               const std::string& path,
-                              const Query&) {
-  if (path == "/health") {
+                              const Query& query) {
+  if (path == "/cache_events") {
+    CacheEvents(message, query);
+  } else if (path == "/health") {
     Health(message);
   } else if (path == "/orders") {
     TakeOrder(message);
@@ -185,12 +187,47 @@
     ++cache_hits_;
   }
   cache_.push_front(prefix);
+  if (!hit) {
+    Publish("cached", prefix);
+  }
   if (cache_.size() > Switch("cache_entries", size_t{32})) {
+    Publish("evicted", cache_.back());
     cache_.pop_back();
   }
   return hit;
 }
 
+void StandInEngine::Publish(const std::string& kind,
+                            const std::string& prefix) {
+  constexpr size_t kKeptEvents = 1000;
+  ++cache_sequence_;
+  if (cache_sequence_ % Switch("event_gap", uint64_t{7}) == 0) {
+    return;
+  }
+  cache_events_.push_back(
+      {cache_sequence_, MonotonicNow().count(), kind, Hex(StableHash(prefix))});
+  if (cache_events_.size() > kKeptEvents) {
+    cache_events_.pop_front();
+  }
+}
+
+void StandInEngine::CacheEvents(SoupServerMessage* message,
+                                const Query& query) {
+  const auto it = query.find("from");
+  const uint64_t from = it == query.end() ? 1 : std::stoull(it->second);
+  const int64_t seen =
+      MonotonicNow().count() - Switch("event_lag_ms", int64_t{300});
+  json events = json::array();
+  for (const CacheEvent& event : cache_events_) {
+    if (event.sequence >= from && event.at <= seen) {
+      events.push_back({{"sequence", event.sequence},
+                        {"kind", event.kind},
+                        {"prefix", event.prefix}});
+    }
+  }
+  Reply(message, 200, json{{"events", events}});
+}
+
 void StandInEngine::Run(const std::shared_ptr<Stream>& stream) {
   const bool hit = TouchCache(stream->prompt.substr(0, kPrefixBytes));
   const int64_t wait = hit ? Switch("cached_prefill_ms", int64_t{2})
--- a/tests/support/stand_in_engine.h
+++ b/tests/support/stand_in_engine.h
@@ -19,10 +19,11 @@
 //!
 //! The text is a function of the prompt; "words=N" in the prompt asks for N
 //! words. A prompt with "CRASH" crashes the engine: all connections are cut and
-//! it is away for "restart_ms". Switches: "capacity", "token_ms",
-//! "prefill_ms", "cached_prefill_ms", "cache_entries", "leaving",
-//! "load_lag_ms", "cut_after" (chunks; once), "wrong_attempt" (once), "refuse"
-//! (bool), "checks_fencing", "restart_ms".
+//! it is away for "restart_ms". /cache_events?from=N tells of cached and
+//! evicted prefixes late ("event_lag_ms") and with gaps (each "event_gap"th is
+//! lost). Switches: "capacity", "token_ms", "prefill_ms", "cached_prefill_ms",
+//! "cache_entries", "leaving", "load_lag_ms", "cut_after" (chunks; once),
+//! "wrong_attempt" (once), "refuse" (bool), "checks_fencing", "restart_ms".
 class StandInEngine : public StandInServer {
  public:
   explicit StandInEngine(std::string name);
@@ -48,6 +49,8 @@
   void End(const std::shared_ptr<Stream>& stream);
   void Crash();
   bool TouchCache(const std::string& prefix);
+  void Publish(const std::string& kind, const std::string& prefix);
+  void CacheEvents(SoupServerMessage* message, const Query& query);
 
   std::string name_;
   uint64_t boot_ = 0;
@@ -59,7 +62,16 @@
   std::set<std::shared_ptr<Stream>> running_;
   std::deque<std::shared_ptr<Stream>> waiting_;
   std::list<std::string> cache_;  //!< Prefixes, the last used first.
+  struct CacheEvent {
+    uint64_t sequence = 0;
+    int64_t at = 0;  //!< Milliseconds, when it happened.
+    std::string kind;
+    std::string prefix;
+  };
+
   std::deque<std::pair<int64_t, size_t>> load_history_;
+  std::deque<CacheEvent> cache_events_;
+  uint64_t cache_sequence_ = 0;
 };
 
 }  // namespace tamaracktrail
--- a/tools/faults.sh
+++ b/tools/faults.sh
@@ -106,6 +106,31 @@
 control engine-a1 '{"leaving":false}'
 sleep 1.5
 
+# A second configuration: one publisher wins, it is in force everywhere, and a
+# placement's order reaches one endpoint.
+cat >"$work/qasr/endpoints/placement.ini" <<'END'
+[placement reports-adapter]
+service = assistant
+data_centre = amman-1
+target = adapter-1
+END
+version=$("$bin" publish --settings "$work/a1.ini" --base "$(cat "$work/version")" --author one "$work/qasr")
+code=0
+"$bin" publish --settings "$work/b1.ini" --base "$(cat "$work/version")" --id other --author two "$work/qasr" 2>"$work/conflict" || code=$?
+check "the second publisher on one base is told of the conflict" 3 "$code"
+check "and of the version to rebase on" "$version" "$(grep -oE 'version [0-9]+' "$work/conflict" | cut -d' ' -f2)"
+in_force() {
+  for name in a1 a2 b1; do
+    "$bin" status --at "127.0.0.1:${port[$name]}" | grep -q "^config_version=$version$" || return 1
+  done
+}
+check "the accepted one is in force everywhere within 6 s" 0 "$(await 6 in_force; echo $?)"
+copies() {
+  for e in engine-a1 engine-a2; do curl -s "$(url $e)/health"; done | grep -o adapter-1 | wc -l
+}
+placed() { [ "$(copies)" = 1 ]; }
+check "the placement is ordered once" 0 "$(await 10 placed; echo $?)"
+
 # Broken streams: the answer stays whole, and the caller's own.
 text() { grep -oE '"content":"[^"]*"' | head -1; }
 whole=$(chat a1 whole-1 'words=9 resume' | text)
@@ -168,6 +193,10 @@
 wait "${instance_pid[a2]}" || code=$?
 check "and the instance exits with 0" 0 "$code"
 
+# The engines' cache events, which the routing does not need.
+events=$(for e in engine-a1 engine-a2; do curl -s "$(url $e)/cache_events"; done | grep -o sequence | wc -l)
+check "the engines tell of their caches" 1 "$((events > 0))"
+
 # The record.
 rm -rf "$work/audit"
 "$bin" audit export --settings "$work/b1.ini" --folder "$work/audit" >/dev/null
