--- a/src/cli/main.cpp
+++ b/src/cli/run.cpp
@@ -1,3 +1,5 @@
+#include "cli/run.h"
+
 #include <cstring>
 #include <iostream>
 
@@ -5,23 +7,25 @@
 
 #include "absl/flags/parse.h"
 #include "cli/command.h"
+#include "cli/exit_code.h"
 
-namespace {
+namespace tamaracktrail {
 
-using tamaracktrail::AllCommands;
-using tamaracktrail::Command;
-using tamaracktrail::ExitCode;
+namespace {
 
-int Usage(std::ostream& out, ExitCode code) {
+int Usage(std::ostream& out,
+          std::span<const Command> commands,
+          ExitCode code) {
   out << "usage: tamaracktrail COMMAND ...\n";
-  for (const Command& it : AllCommands()) {
+  for (const Command& it : commands) {
     out << "  " << it.synopsis << "\n";
   }
   return static_cast<int>(code);
 }
 
-const Command* FindCommand(const std::string& name) {
-  for (const Command& it : AllCommands()) {
+const Command* FindCommand(std::span<const Command> commands,
+                           const std::string& name) {
+  for (const Command& it : commands) {
     if (name == it.name) {
       return &it;
     }
@@ -38,15 +42,15 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int RunCommand(int argc, char** argv, std::span<const Command> commands) {
   if (argc < 2) {
-    return Usage(std::cerr, ExitCode::kBadInput);
+    return Usage(std::cerr, commands, ExitCode::kBadInput);
   }
-  const Command* command = FindCommand(argv[1]);
+  const Command* command = FindCommand(commands, argv[1]);
   if (command == nullptr) {
     const bool asked = std::strcmp(argv[1], "--help") == 0;
-    return asked ? Usage(std::cout, ExitCode::kOk)
-                 : Usage(std::cerr, ExitCode::kBadInput);
+    return asked ? Usage(std::cout, commands, ExitCode::kOk)
+                 : Usage(std::cerr, commands, ExitCode::kBadInput);
   }
   for (int i = 2; i < argc; ++i) {
     if (std::strcmp(argv[i], "--help") == 0) {
@@ -65,3 +69,5 @@
   }
   return static_cast<int>(command->run(arguments));
 }
+
+}  // namespace tamaracktrail
--- a/src/coordination/rendezvous.cpp
+++ b/src/coordination/rendezvous.cpp
@@ -17,6 +17,10 @@
   return RendezvousWeight(key, Hex(candidate));
 }
 
+uint64_t RendezvousWeight(uint64_t key, uint64_t candidate) {
+  return StableHash(candidate, key);
+}
+
 uint64_t RendezvousPick(const std::string& key,
                         std::span<const uint64_t> candidates) {
   uint64_t best = 0;
--- a/src/coordination/rendezvous.h
+++ b/src/coordination/rendezvous.h
@@ -11,6 +11,8 @@
 //! Rendezvous weight of `candidate` for `key`; the highest wins. Thread-safe.
 uint64_t RendezvousWeight(const std::string& key, const std::string& candidate);
 uint64_t RendezvousWeight(const std::string& key, uint64_t candidate);
+//! The same for a key that is a hash already; for choices on each request.
+uint64_t RendezvousWeight(uint64_t key, uint64_t candidate);
 
 //! The candidate with the highest weight; 0 for no candidate. Thread-safe.
 uint64_t RendezvousPick(const std::string& key,
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -15,6 +15,15 @@
 
   void OnRequest() { tokens_ = std::min(burst_, tokens_ + ratio_); }
 
+  //! Changes how many are saved up at most.
+  void SetBurst(double burst) {
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
+
+  //! Whether `TakeRetry` would succeed.
+  bool HasRetry() const { return tokens_ >= 1; }
+
   //! Takes one retry if there is one.
   bool TakeRetry() {
     if (tokens_ < 1) {
--- /dev/null
+++ b/src/protocol/http_reader.cpp
@@ -0,0 +1,268 @@
+#include "protocol/http_reader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "protocol/text.h"
+
+namespace tamaracktrail {
+
+namespace http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+namespace {
+
+//! Bytes that no field value may hold; a lone CR or LF ends a line for some
+//! parsers and not for others.
+bool HasControlByte(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    return (static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7f;
+  });
+}
+
+std::string_view View(string_view text) {
+  return {text.data(), text.size()};
+}
+
+}  // namespace
+
+//! What both kinds of message have in common.
+class HttpReader::Base {
+ public:
+  virtual ~Base() = default;
+  virtual absl::Status Feed(std::string* buf) = 0;
+  virtual absl::Status FeedEnd() = 0;
+  virtual void ExpectNoBody() = 0;
+  virtual bool Done() const = 0;
+  virtual bool NeedsEnd() const = 0;
+  virtual bool KeepAlive() const = 0;
+  virtual bool Chunked() const = 0;
+  virtual std::optional<uint64_t> ContentLength() const = 0;
+
+  bool started = false;
+  bool head_done = false;
+  std::string method;
+  std::string target;
+  int status = 0;
+  std::string reason;
+  int version = 11;
+  HttpFields fields;
+  std::string body;
+};
+
+template <bool kIsRequest>
+class HttpReader::Parser : public HttpReader::Base,
+                           private http::basic_parser<kIsRequest> {
+ public:
+  explicit Parser(uint32_t max_header_bytes) {
+    this->header_limit(max_header_bytes);
+    this->body_limit(boost::none);
+    this->eager(true);
+  }
+
+  absl::Status Feed(std::string* buf) override {
+    size_t consumed = 0;
+    while (consumed < buf->size() && !this->is_done()) {
+      error_code ec;
+      const size_t n = this->put(
+          boost::asio::const_buffer(buf->data() + consumed,
+                                    buf->size() - consumed),
+          ec);
+      consumed += n;
+      started = started || n > 0 || ec == http::error::need_more;
+      if (ec == http::error::need_more) {
+        break;
+      }
+      if (ec) {
+        return Describe(ec);
+      }
+      if (n == 0) {
+        break;
+      }
+    }
+    buf->erase(0, consumed);
+    return absl::OkStatus();
+  }
+
+  absl::Status FeedEnd() override {
+    error_code ec;
+    this->put_eof(ec);
+    return ec ? Describe(ec) : absl::OkStatus();
+  }
+
+  void ExpectNoBody() override { this->skip(true); }
+  bool Done() const override { return this->is_done(); }
+  bool NeedsEnd() const override { return this->need_eof(); }
+  bool KeepAlive() const override { return this->keep_alive(); }
+  bool Chunked() const override { return this->chunked(); }
+
+  std::optional<uint64_t> ContentLength() const override {
+    const auto n = this->content_length();
+    return n ? std::optional<uint64_t>(*n) : std::nullopt;
+  }
+
+ private:
+  static absl::Status Describe(const error_code& ec) {
+    const std::string text = absl::StrCat("HTTP: ", ec.message());
+    return ec == http::error::header_limit
+               ? absl::ResourceExhaustedError(text)
+               : absl::InvalidArgumentError(text);
+  }
+
+  void on_request_impl(http::verb,
+                       string_view method_text,
+                       string_view target_text,
+                       int http_version,
+                       error_code& ec) override {
+    method = View(method_text);
+    target = View(target_text);
+    version = http_version;
+    if (HasControlByte(target)) {
+      ec = http::error::bad_target;
+    }
+  }
+
+  void on_response_impl(int code,
+                        string_view reason_text,
+                        int http_version,
+                        error_code&) override {
+    status = code;
+    reason = View(reason_text);
+    version = http_version;
+  }
+
+  void on_field_impl(http::field name,
+                     string_view name_text,
+                     string_view value,
+                     error_code& ec) override {
+    if (HasControlByte(View(value))) {
+      ec = http::error::bad_value;
+      return;
+    }
+    const bool framing = name == http::field::content_length ||
+                         name == http::field::transfer_encoding;
+    if (framing && (fields.Count("Content-Length") > 0 ||
+                    fields.Count("Transfer-Encoding") > 0)) {
+      ec = http::error::bad_content_length;
+      return;
+    }
+    if (name == http::field::transfer_encoding &&
+        !EqualsIgnoringCase(View(value), "chunked")) {
+      ec = http::error::bad_transfer_encoding;
+      return;
+    }
+    if (name == http::field::content_length &&
+        value.find_first_not_of("0123456789") != string_view::npos) {
+      ec = http::error::bad_content_length;
+      return;
+    }
+    fields.Add(View(name_text), View(value));
+  }
+
+  void on_header_impl(error_code& ec) override {
+    head_done = true;
+    if (kIsRequest && version == 11 && fields.Count("Host") != 1) {
+      ec = http::error::bad_field;
+    }
+  }
+
+  void on_body_init_impl(const boost::optional<uint64_t>&,
+                         error_code&) override {}
+
+  size_t on_body_impl(string_view text, error_code&) override {
+    body.append(text.data(), text.size());
+    return text.size();
+  }
+
+  void on_chunk_header_impl(uint64_t, string_view, error_code&) override {}
+
+  size_t on_chunk_body_impl(uint64_t, string_view text, error_code&) override {
+    body.append(text.data(), text.size());
+    return text.size();
+  }
+
+  void on_finish_impl(error_code&) override {}
+};
+
+HttpReader::HttpReader(Kind kind, uint32_t max_header_bytes) {
+  if (kind == Kind::kRequest) {
+    parser_ = std::make_unique<Parser<true>>(max_header_bytes);
+  } else {
+    parser_ = std::make_unique<Parser<false>>(max_header_bytes);
+  }
+}
+
+HttpReader::~HttpReader() = default;
+
+absl::Status HttpReader::Feed(std::string* buf) {
+  return parser_->Feed(buf);
+}
+
+absl::Status HttpReader::FeedEnd() {
+  return parser_->FeedEnd();
+}
+
+void HttpReader::ExpectNoBody() {
+  parser_->ExpectNoBody();
+}
+
+bool HttpReader::started() const {
+  return parser_->started;
+}
+
+bool HttpReader::head_done() const {
+  return parser_->head_done;
+}
+
+bool HttpReader::done() const {
+  return parser_->Done();
+}
+
+bool HttpReader::ends_with_connection() const {
+  return parser_->head_done && parser_->NeedsEnd();
+}
+
+bool HttpReader::keep_alive() const {
+  return parser_->KeepAlive();
+}
+
+bool HttpReader::chunked() const {
+  return parser_->Chunked();
+}
+
+std::optional<uint64_t> HttpReader::content_length() const {
+  return parser_->ContentLength();
+}
+
+const std::string& HttpReader::method() const {
+  return parser_->method;
+}
+
+const std::string& HttpReader::target() const {
+  return parser_->target;
+}
+
+int HttpReader::status() const {
+  return parser_->status;
+}
+
+const std::string& HttpReader::reason() const {
+  return parser_->reason;
+}
+
+bool HttpReader::is_http_1_1() const {
+  return parser_->version == 11;
+}
+
+const HttpFields& HttpReader::fields() const {
+  return parser_->fields;
+}
+
+std::string& HttpReader::body() {
+  return parser_->body;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/state/budget_claim.cpp
@@ -0,0 +1,46 @@
+#include "state/budget_claim.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <sstream>
+
+
+namespace tamaracktrail {
+
+namespace {
+
+//! Between instance and organisation; neither name may hold it.
+constexpr char kSeparator = '/';
+
+}  // namespace
+
+std::string BudgetClaimKey(const BudgetClaim& claim) {
+  return claim.instance + kSeparator + claim.organisation;
+}
+
+std::string EncodeBudgetClaim(const BudgetClaim& claim) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(claim.incarnation, claim.claimed, claim.spent);
+  return out.str();
+}
+
+std::optional<BudgetClaim> DecodeBudgetClaim(const std::string& key,
+                                             const std::string& value) {
+  const size_t slash = key.find(kSeparator);
+  if (slash == std::string::npos) {
+    return std::nullopt;
+  }
+  BudgetClaim claim;
+  claim.instance = key.substr(0, slash);
+  claim.organisation = key.substr(slash + 1);
+  try {
+    std::istringstream in(value);
+    cereal::PortableBinaryInputArchive archive(in);
+    archive(claim.incarnation, claim.claimed, claim.spent);
+  } catch (const cereal::Exception&) {
+    return std::nullopt;
+  }
+  return claim;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/state/caller_limits.h
@@ -0,0 +1,22 @@
+#ifndef STATE_CALLER_LIMITS_H_
+#define STATE_CALLER_LIMITS_H_
+
+#include <cstdint>
+
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! Bounds on what a caller may send and how long it may take.
+struct CallerLimits {
+  uint32_t max_header_bytes = 16 * 1024;
+  uint64_t max_body_bytes = 4 * 1024 * 1024;
+  Millis header_timeout{3000};
+  Millis idle_timeout{15000};
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_CALLER_LIMITS_H_
--- a/src/state/digest.cpp
+++ b/src/state/digest.cpp
@@ -56,6 +56,10 @@
   return XXH3_64bits_withSeed(data.data(), data.size(), seed);
 }
 
+uint64_t StableHash(uint64_t value, uint64_t seed) {
+  return XXH3_64bits_withSeed(&value, sizeof(value), seed);
+}
+
 std::string Hex(const std::string& data) {
   return absl::BytesToHexString(data);
 }
--- a/src/state/digest.h
+++ b/src/state/digest.h
@@ -17,6 +17,7 @@
 
 //! 64-bit hash, stable between processes and releases. Thread-safe.
 uint64_t StableHash(const std::string& data, uint64_t seed = 0);
+uint64_t StableHash(uint64_t value, uint64_t seed);
 
 //! Lower-case hexadecimal form of raw bytes. Thread-safe.
 std::string Hex(const std::string& data);
--- /dev/null
+++ b/src/state/organisation.h
@@ -0,0 +1,23 @@
+#ifndef STATE_ORGANISATION_H_
+#define STATE_ORGANISATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace tamaracktrail {
+
+//! One organisation of a configuration.
+struct Organisation {
+  std::string name;
+  std::vector<std::string> keys;
+  int priority = 0;                //!< 0 is the most urgent.
+  std::optional<int64_t> prepaid;  //!< Tokens; none where it isn't limited.
+
+  friend bool operator==(const Organisation&, const Organisation&) = default;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_ORGANISATION_H_
--- /dev/null
+++ b/src/state/routing_config.h
@@ -0,0 +1,60 @@
+#ifndef STATE_ROUTING_CONFIG_H_
+#define STATE_ROUTING_CONFIG_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "state/caller_limits.h"
+#include "state/organisation.h"
+#include "state/route.h"
+#include "state/routed_service.h"
+
+namespace tamaracktrail {
+
+//! One version of the configuration, indexed for look-ups. Immutable and
+//! thread-safe once built.
+class RoutingConfig {
+ public:
+  RoutingConfig(int64_t version,
+                std::vector<Route> routes,
+                std::vector<RoutedService> services,
+                std::vector<Organisation> organisations,
+                CallerLimits limits);
+
+  int64_t version() const { return version_; }
+  const CallerLimits& limits() const { return limits_; }
+  const std::vector<Organisation>& organisations() const {
+    return organisations_;
+  }
+
+  //! The route of the host with the longest prefix of `path`, which may carry a
+  //! query; nullptr for none.
+  const Route* FindRoute(std::string_view host, std::string_view path) const;
+
+  //! nullptr for an unknown service.
+  const RoutedService* FindService(const std::string& name) const;
+
+  //! The organisation that holds a key; nullptr for none.
+  const Organisation* FindByKey(const std::string& key) const;
+
+  //! Whether keys are asked for at all.
+  bool has_organisations() const { return !organisations_.empty(); }
+
+ private:
+  int64_t version_;
+  std::vector<Route> routes_;
+  std::vector<RoutedService> services_;
+  std::vector<Organisation> organisations_;
+  CallerLimits limits_;
+  //! Indexes of routes by host, longest prefix first.
+  std::unordered_map<std::string, std::vector<size_t>> by_host_;
+  std::unordered_map<std::string, size_t> by_service_;
+  std::unordered_map<std::string, size_t> by_key_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // STATE_ROUTING_CONFIG_H_
--- /dev/null
+++ b/src/transport/event_loop.h
@@ -0,0 +1,83 @@
+#ifndef TRANSPORT_EVENT_LOOP_H_
+#define TRANSPORT_EVENT_LOOP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "state/millis.h"
+
+typedef struct _GMainLoop GMainLoop;
+typedef struct _GSource GSource;
+
+namespace tamaracktrail {
+
+class IoHandler;
+
+//! Runs descriptors and timers on a GLib main loop.
+//!
+//! All descriptors hang on one epoll set and all timers on one ready time, so
+//! that the cost of a wake-up does not grow with the number of connections.
+//! Not thread-safe: all calls come from the thread that runs the loop.
+class EventLoop {
+ public:
+  using Callback = std::function<void()>;
+  using TimerId = std::pair<int64_t, uint64_t>;
+
+  EventLoop();
+  ~EventLoop();
+
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+
+  //! Watches `fd` for EPOLL `events`. Precondition: `fd` is not watched and
+  //! `handler` lives until `Unwatch`.
+  void Watch(int fd, uint32_t events, IoHandler* handler);
+  void Rewatch(int fd, uint32_t events);
+  void Unwatch(int fd);
+
+  //! Calls `callback` once, `delay` from now.
+  TimerId After(Millis delay, Callback callback);
+
+  //! Cancels a timer and resets the id; ids of timers that ran are ignored.
+  void Cancel(TimerId* id);
+
+  //! Calls `callback` after the handlers of this wake-up.
+  void Defer(Callback callback);
+
+  //! Runs until `Quit`.
+  void Run();
+  void Quit();
+
+  //! Time since boot, read once a wake-up. Suspension counts.
+  Millis Now() const { return now_; }
+
+ private:
+  struct Source;
+  struct Watched {
+    IoHandler* handler = nullptr;
+    uint32_t generation = 0;
+  };
+
+  void Dispatch();
+  void RunTimers();
+  void RunDeferred();
+  void UpdateReadyTime();
+
+  GMainLoop* loop_;
+  GSource* source_;
+  int epoll_fd_;
+  uint32_t next_generation_ = 1;
+  uint64_t next_timer_ = 1;
+  Millis now_;
+  std::unordered_map<int, Watched> watched_;
+  std::map<TimerId, Callback> timers_;
+  std::vector<Callback> deferred_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_EVENT_LOOP_H_
--- /dev/null
+++ b/src/transport/peer_gossip.h
@@ -0,0 +1,66 @@
+#ifndef TRANSPORT_PEER_GOSSIP_H_
+#define TRANSPORT_PEER_GOSSIP_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "coordination/endpoint_load.h"
+#include "state/millis.h"
+#include "transport/event_loop.h"
+#include "transport/io_handler.h"
+
+namespace tamaracktrail {
+
+//! Sends small reports to the other instances over UDP and hears theirs.
+//!
+//! Reports are hints: they may be lost, late or repeated, and nothing that has
+//! to be right depends on them. Not thread-safe.
+class PeerGossip : private IoHandler {
+ public:
+  struct Report {
+    uint64_t incarnation = 0;
+    std::string instance;
+    int64_t config_version = 0;
+    std::vector<std::pair<uint64_t, EndpointLoad>> loads;
+    //! Content and endpoint of crashes; see CrashGuard.
+    std::vector<std::pair<uint64_t, uint64_t>> crashes;
+
+    friend bool operator==(const Report&, const Report&) = default;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(incarnation, instance, config_version, loads, crashes);
+    }
+  };
+  using OnReport = std::function<void(const Report& report)>;
+
+  //! Takes over the bound, non-blocking UDP descriptor `fd`.
+  PeerGossip(EventLoop* loop, int fd, OnReport on_report);
+  ~PeerGossip() override;
+
+  PeerGossip(const PeerGossip&) = delete;
+  PeerGossip& operator=(const PeerGossip&) = delete;
+
+  //! Addresses ("ip:port") that hear the reports.
+  void SetPeers(const std::vector<std::string>& addresses);
+  size_t peers() const { return peers_.size(); }
+
+  //! Sends a report to all peers; what the kernel does not take is lost.
+  void Send(const Report& report);
+
+ private:
+  void OnReady(uint32_t events) override;
+
+  EventLoop* loop_;
+  int fd_;
+  OnReport on_report_;
+  std::vector<std::string> peers_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_PEER_GOSSIP_H_
--- /dev/null
+++ b/src/transport/relay/caller_connection.cpp
@@ -0,0 +1,256 @@
+#include "transport/relay/caller_connection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <glog/logging.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "protocol/http_reader.h"
+#include "transport/event_loop.h"
+#include "transport/relay/caller_request.h"
+#include "transport/relay/relay_server.h"
+#include "transport/relay/request_task.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+//! One read.
+constexpr size_t kReadBytes = 64 * 1024;
+
+//! Bytes of later requests that are read while one is worked on.
+constexpr size_t kMaxReadAhead = 64 * 1024;
+
+//! Unsent bytes of an answer from which its source is paused.
+constexpr size_t kCongestedBytes = 256 * 1024;
+
+//! After a refusal the rest of the request is read for this long: closing on
+//! unread bytes would reset the connection and take the answer with it.
+constexpr Millis kLinger{1000};
+
+}  // namespace
+
+CallerConnection::CallerConnection(EventLoop* loop, RelayServer* server, int fd)
+    : loop_(loop),
+      server_(server),
+      stream_(TcpStream::Adopt(loop, fd, this)),
+      since_(loop->Now()) {}
+
+CallerConnection::~CallerConnection() = default;
+
+const CallerLimits& CallerConnection::limits() const {
+  return server_->limits();
+}
+
+void CallerConnection::OnReadable() {
+  const size_t before = in_.size();
+  const TcpStream::ReadResult result = stream_->Read(&in_, kReadBytes);
+  if (result == TcpStream::ReadResult::kEnd ||
+      result == TcpStream::ReadResult::kFailed) {
+    Close();
+    return;
+  }
+  if (in_.size() == before) {
+    return;
+  }
+  switch (phase_) {
+    case Phase::kReading:
+      ReadRequest();
+      break;
+    case Phase::kServing:
+      if (in_.size() > kMaxReadAhead) {
+        stream_->PauseReading(true);
+      }
+      break;
+    case Phase::kLingering:
+      in_.clear();
+      break;
+  }
+}
+
+void CallerConnection::ReadRequest() {
+  if (in_.empty()) {
+    return;
+  }
+  if (reader_ == nullptr) {
+    reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kRequest,
+                                           limits().max_header_bytes);
+    request_begun_ = true;
+    since_ = loop_->Now();
+  }
+  const absl::Status fed = reader_->Feed(&in_);
+  if (absl::IsResourceExhausted(fed)) {
+    Refuse(431, "Request Header Fields Too Large");
+    return;
+  }
+  if (!fed.ok()) {
+    Refuse(400, "Bad Request");
+    return;
+  }
+  const uint64_t announced = reader_->content_length().value_or(0);
+  if (reader_->head_done() &&
+      std::max<uint64_t>(announced, reader_->body().size()) >
+          limits().max_body_bytes) {
+    Refuse(413, "Content Too Large");
+    return;
+  }
+  if (reader_->done()) {
+    StartTask();
+  }
+}
+
+void CallerConnection::StartTask() {
+  CallerRequest request;
+  request.method = reader_->method();
+  request.target = reader_->target();
+  request.fields = reader_->fields();
+  request.body =
+      std::make_shared<const std::string>(std::move(reader_->body()));
+  request.began = since_;
+  keep_alive_ = reader_->keep_alive() && reader_->is_http_1_1();
+  head_method_ = request.method == "HEAD";
+  reader_.reset();
+  phase_ = Phase::kServing;
+  answer_begun_ = false;
+  close_after_ = false;
+  task_ = server_->MakeTask(this, std::move(request));
+  task_->Start();
+}
+
+void CallerConnection::Refuse(int status, const char* reason) {
+  server_->OnBadRequest(status);
+  keep_alive_ = false;
+  AnswerHead head;
+  head.status = status;
+  head.reason = reason;
+  phase_ = Phase::kServing;
+  Answer(std::move(head), "");
+}
+
+void CallerConnection::BeginAnswer(const AnswerHead& head) {
+  CHECK(phase_ == Phase::kServing && !answer_begun_) << "event=second_answer";
+  answer_begun_ = true;
+  chunked_ = !head.length.has_value();
+  close_after_ = !keep_alive_ || server_->draining();
+  std::string text =
+      absl::StrCat("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
+  for (const HttpField& it : head.fields.all()) {
+    absl::StrAppend(&text, it.name, ": ", it.value, "\r\n");
+  }
+  if (head.length) {
+    absl::StrAppend(&text, "Content-Length: ", *head.length, "\r\n");
+  } else {
+    absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n");
+  }
+  if (close_after_) {
+    absl::StrAppend(&text, "Connection: close\r\n\r\n");
+  } else {
+    absl::StrAppend(&text, "Keep-Alive: timeout=",
+                    limits().idle_timeout.count() / 1000, "\r\n\r\n");
+  }
+  stream_->Write(text);
+}
+
+void CallerConnection::WriteBody(std::string_view bytes) {
+  CHECK(answer_begun_) << "event=body_without_head";
+  if (bytes.empty() || head_method_) {
+    return;
+  }
+  if (chunked_) {
+    stream_->Write(absl::StrFormat("%x\r\n", bytes.size()));
+    stream_->Write(bytes);
+    stream_->Write("\r\n");
+  } else {
+    stream_->Write(bytes);
+  }
+  stream_->Flush();
+}
+
+void CallerConnection::EndAnswer() {
+  if (chunked_ && !head_method_) {
+    stream_->Write("0\r\n\r\n");
+  }
+  stream_->Flush();
+  server_->Defer(this, [this] { FinishTask(); });
+}
+
+void CallerConnection::Answer(AnswerHead head, std::string_view body) {
+  head.length = body.size();
+  BeginAnswer(head);
+  WriteBody(body);
+  EndAnswer();
+}
+
+void CallerConnection::FinishTask() {
+  task_.reset();
+  if (close_after_) {
+    StartLingering();
+    return;
+  }
+  phase_ = Phase::kReading;
+  request_begun_ = false;
+  since_ = loop_->Now();
+  stream_->PauseReading(false);
+  ReadRequest();
+}
+
+void CallerConnection::StartLingering() {
+  phase_ = Phase::kLingering;
+  since_ = loop_->Now();
+  in_.clear();
+  stream_->PauseReading(false);
+  if (stream_->pending() == 0) {
+    stream_->ShutDownWriting();
+  }
+}
+
+void CallerConnection::BreakOff() {
+  stream_->Abort();
+  server_->Defer(this, [this] { Close(); });
+}
+
+bool CallerConnection::congested() const {
+  return stream_->pending() > kCongestedBytes;
+}
+
+void CallerConnection::OnDrained() {
+  if (phase_ == Phase::kLingering) {
+    stream_->ShutDownWriting();
+  } else if (task_ != nullptr) {
+    task_->OnCallerDrained();
+  }
+}
+
+void CallerConnection::OnFailed(const absl::Status&) {
+  Close();
+}
+
+void CallerConnection::Close() {
+  if (!closed_) {
+    closed_ = true;
+    task_.reset();
+    server_->Remove(this);
+  }
+}
+
+void CallerConnection::OnTick(Millis now) {
+  const Millis waited = now - since_;
+  if (phase_ == Phase::kLingering) {
+    if (waited > kLinger && stream_->pending() == 0) {
+      Close();
+    }
+  } else if (phase_ == Phase::kReading && request_begun_) {
+    const bool head_done = reader_ != nullptr && reader_->head_done();
+    if (!head_done && waited > limits().header_timeout) {
+      Refuse(408, "Request Timeout");
+    } else if (waited > limits().idle_timeout) {
+      Close();
+    }
+  } else if (phase_ == Phase::kReading && waited > limits().idle_timeout) {
+    Close();
+  }
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/transport/relay/http_fetch.cpp
@@ -0,0 +1,79 @@
+#include "transport/relay/http_fetch.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "protocol/http_reader.h"
+#include "state/digest.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+//! Time to connect within a region; a lost opening packet is dialled anew.
+constexpr Millis kConnectTimeout{500};
+
+//! An idle connection may have gone silent, so old ones are not used again.
+constexpr Millis kMaxIdle{10000};
+
+}  // namespace
+
+HttpFetch::HttpFetch(EventLoop* loop,
+                     EndpointPool* pool,
+                     const std::string& address,
+                     const std::string& method,
+                     const std::string& target,
+                     std::string body,
+                     Millis timeout,
+                     Callback callback)
+    : loop_(loop), callback_(std::move(callback)) {
+  EndpointCall::Options options;
+  options.endpoint = StableHash(address);
+  options.address = address;
+  options.connect_timeout = std::min(kConnectTimeout, timeout);
+  options.unacknowledged = timeout;
+  options.max_idle = kMaxIdle;
+  call_ = std::make_unique<EndpointCall>(loop, pool, options, this);
+  std::string head =
+      absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: ", address, "\r\n");
+  if (method != "GET") {
+    absl::StrAppend(&head, "Content-Length: ", body.size(), "\r\n");
+  }
+  head += "\r\n";
+  timer_ = loop_->After(timeout, [this] {
+    call_.reset();
+    Finish(absl::DeadlineExceededError("no answer in time"));
+  });
+  call_->Start(head, std::make_shared<const std::string>(std::move(body)));
+}
+
+HttpFetch::~HttpFetch() {
+  loop_->Cancel(&timer_);
+}
+
+bool HttpFetch::OnAnswerHead(const HttpReader& answer) {
+  answer_.status = answer.status();
+  return true;
+}
+
+void HttpFetch::OnAnswerBody(std::string* body) {
+  answer_.body += *body;
+  body->clear();
+}
+
+void HttpFetch::OnAnswerDone() {
+  Finish(std::move(answer_));
+}
+
+void HttpFetch::OnCallFailed(const absl::Status& status, bool) {
+  Finish(absl::UnavailableError(status.message()));
+}
+
+void HttpFetch::Finish(absl::StatusOr<Answer> answer) {
+  loop_->Cancel(&timer_);
+  const Callback callback = std::move(callback_);
+  callback(std::move(answer));
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/transport/relay/http_fetch.h
@@ -0,0 +1,60 @@
+#ifndef TRANSPORT_RELAY_HTTP_FETCH_H_
+#define TRANSPORT_RELAY_HTTP_FETCH_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/statusor.h"
+#include "state/millis.h"
+#include "transport/event_loop.h"
+#include "transport/relay/endpoint_call.h"
+
+namespace tamaracktrail {
+
+class EndpointPool;
+
+//! One HTTP call whose answer is small enough to be held in memory. Destroying
+//! it cancels the call. Not thread-safe.
+class HttpFetch : public EndpointCall::Observer {
+ public:
+  //! An answer with any status.
+  struct Answer {
+    int status = 0;
+    std::string body;
+  };
+  using Callback = std::function<void(absl::StatusOr<Answer>)>;
+
+  //! Starts the call; `callback` is called once and from the loop, and may
+  //! destroy the fetch. Errors: DeadlineExceeded after `timeout`, Unavailable
+  //! where the connection failed. Precondition: loop and pool outlive it.
+  HttpFetch(EventLoop* loop,
+            EndpointPool* pool,
+            const std::string& address,
+            const std::string& method,
+            const std::string& target,
+            std::string body,
+            Millis timeout,
+            Callback callback);
+  ~HttpFetch() override;
+
+  HttpFetch(const HttpFetch&) = delete;
+  HttpFetch& operator=(const HttpFetch&) = delete;
+
+ private:
+  bool OnAnswerHead(const HttpReader& answer) override;
+  void OnAnswerBody(std::string* body) override;
+  void OnAnswerDone() override;
+  void OnCallFailed(const absl::Status& status, bool sent) override;
+  void Finish(absl::StatusOr<Answer> answer);
+
+  EventLoop* loop_;
+  std::unique_ptr<EndpointCall> call_;
+  Callback callback_;
+  Answer answer_;
+  EventLoop::TimerId timer_{};
+};
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_RELAY_HTTP_FETCH_H_
--- /dev/null
+++ b/src/transport/relay/relay_task.cpp
@@ -0,0 +1,773 @@
+#include "transport/relay/relay_task.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "coordination/attempt_rules.h"
+#include "protocol/http_reader.h"
+#include "protocol/text.h"
+#include "state/digest.h"
+#include "state/routing_config.h"
+#include "transport/log_line.h"
+#include "transport/metrics.h"
+#include "transport/relay/caller_connection.h"
+#include "transport/relay/relay_context.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+//! The answer is due this long before the caller or the route gives up, since
+//! it still has to reach the caller.
+constexpr Millis kEndMargin{20};
+
+//! A request waits for a share this long at most: two turns of the log and the
+//! pause between two appends, several times over.
+constexpr Millis kShareWait{700};
+//! Part of its objective that it waits at most.
+constexpr double kShareWaitPart = 0.75;
+//! Pace at which a waiting request says that it still waits.
+constexpr Millis kSharePoll{100};
+
+//! Time to connect. A dropped opening packet is resent after seconds, so
+//! dialling again is faster than waiting.
+constexpr Millis kConnectTimeout{300};
+
+//! Sent bytes without an acknowledgement from the endpoint's kernel.
+constexpr Millis kUnacknowledged{2500};
+
+//! An idle connection this old is not used for a request that may run only
+//! once: the endpoint may be closing it at this moment.
+constexpr Millis kMaxIdleOnce{4000};
+constexpr Millis kMaxIdle{60000};
+
+//! A repeatable request goes elsewhere when an answer is this many times later
+//! than predicted, within these bounds.
+constexpr int64_t kSilenceFactor = 4;
+constexpr Millis kLeastSilence{150};
+constexpr double kSilencePart = 0.4;
+
+//! Answers up to this size are held until they are whole, so that a broken one
+//! can be replaced.
+constexpr size_t kHeldBytes = 1024 * 1024;
+
+//! Shortest and longest wait that a refused caller is told.
+constexpr Millis kLeastRetryAfter{100};
+constexpr Millis kMostRetryAfter{3000};
+
+//! Callers honour a wait of up to a third of their time; a little less arrives.
+constexpr double kRetryAfterPart = 0.3;
+
+//! A refused caller comes back when about this much has changed.
+constexpr Millis kNoEndpointWait{400};
+constexpr Millis kNoConfigWait{500};
+constexpr Millis kNoShareWait{400};
+
+//! Part of the caller's patience within which the first event must be
+//! predicted: the prediction is off by some tenths.
+constexpr double kPatiencePart = 0.85;
+
+Millis Scale(Millis value, double factor) {
+  return Millis(
+      static_cast<int64_t>(static_cast<double>(value.count()) * factor));
+}
+
+}  // namespace
+
+RelayTask::RelayTask(RelayContext* context,
+                     CallerConnection* connection,
+                     CallerRequest request)
+    : context_(context),
+      connection_(connection),
+      request_(std::move(request)),
+      config_(context->config) {}
+
+RelayTask::~RelayTask() {
+  if (!finished_) {
+    LogEnd(0, "caller_left", "connection closed by the caller");
+  }
+  if (ticket_) {
+    context_->board.OnAbandoned(&*ticket_);
+  }
+  Settle();
+  context_->waiting.erase(this);
+  context_->loop->Cancel(&end_timer_);
+  context_->loop->Cancel(&share_timer_);
+  context_->loop->Cancel(&silence_timer_);
+}
+
+// --- Admission -------------------------------------------------------------
+
+void RelayTask::Start() {
+  if (!Admit()) {
+    return;
+  }
+  end_timer_ = context_->loop->After(ends_ - context_->loop->Now(),
+                                     [this] { OnTimeUp(); });
+  ReserveOrWait();
+}
+
+bool RelayTask::Admit() {
+  const CallDialect& dialect = context_->dialect;
+  request_id_ = std::string(
+      request_.fields.Find(dialect.request_id).value_or(std::string_view()));
+  if (config_ == nullptr) {
+    Refuse("no_configuration", kNoConfigWait);
+    return false;
+  }
+  if (request_id_.empty() || request_.fields.Count(dialect.request_id) != 1) {
+    Fail(400, "Bad Request", "no_request_id");
+    return false;
+  }
+  route_ = config_->FindRoute(
+      request_.fields.Find("Host").value_or(std::string_view()),
+      request_.target);
+  if (route_ == nullptr) {
+    Fail(404, "Not Found", "no_route");
+    return false;
+  }
+  if (!FindOrganisation()) {
+    Fail(401, "Unauthorized", "unknown_key");
+    return false;
+  }
+  Millis allowed = route_->timeout;
+  int64_t deadline = 0;
+  const auto text = request_.fields.Find(dialect.deadline);
+  if (text && absl::SimpleAtoi(AsAbsl(*text), &deadline) && deadline > 0) {
+    allowed = std::min(allowed, Millis(deadline));
+  }
+  ends_ = request_.began + allowed - kEndMargin;
+  return AdmitSize();
+}
+
+bool RelayTask::FindOrganisation() {
+  rank_ = route_->priority;
+  if (!config_->has_organisations()) {
+    return true;
+  }
+  const auto field = request_.fields.Find("Authorization");
+  if (field && request_.fields.Count("Authorization") == 1 &&
+      EqualsIgnoringCase(field->substr(0, 7), "Bearer ")) {
+    organisation_ = config_->FindByKey(std::string(field->substr(7)));
+  }
+  if (organisation_ != nullptr) {
+    // An organisation's rank goes before its routes' ranks.
+    constexpr int kRouteRanks = 3;
+    rank_ = organisation_->priority * kRouteRanks +
+            std::min(route_->priority, kRouteRanks - 1);
+  }
+  return organisation_ != nullptr || route_->is_public;
+}
+
+bool RelayTask::AdmitSize() {
+  int total = 0;
+  for (const Route::Part& it : route_->split) {
+    total += std::max(0, it.weight);
+  }
+  int at = static_cast<int>(context_->Draw() * total);
+  for (const Route::Part& it : route_->split) {
+    service_ = config_->FindService(it.service);
+    at -= it.weight;
+    if (at < 0) {
+      break;
+    }
+  }
+  if (service_ == nullptr) {
+    Refuse("no_service", kNoEndpointWait);
+    return false;
+  }
+  context_->Retries(service_->name).OnRequest();
+  prompt_ = context_->dialect.read_prompt(request_.fields);
+  if (prompt_) {
+    chain_ = PrefixMemory::Chain(prompt_->parts);
+  }
+  content_ = StableHash(
+      *request_.body,
+      StableHash(absl::StrCat(request_.method, " ", request_.target, " ",
+                              organisation_ ? organisation_->name : "")));
+  if (context_->crashes.IsBlocked(content_)) {
+    Refuse("crashes_endpoints", kMostRetryAfter);
+    return false;
+  }
+  return true;
+}
+
+void RelayTask::ReserveOrWait() {
+  if (!prompt_ || organisation_ == nullptr) {
+    Attempt();
+    return;
+  }
+  const Millis now = context_->loop->Now();
+  const int64_t most = prompt_->most_tokens();
+  const auto verdict =
+      context_->shares.Reserve(now, organisation_->name, most);
+  if (verdict == BudgetShares::Verdict::kShort) {
+    if (!waits_for_share_) {
+      waits_for_share_ = true;
+      context_->waiting.insert(this);
+      const Millis wait =
+          std::min({kShareWait, Scale(route_->objective, kShareWaitPart),
+                    Remaining()});
+      share_timer_ =
+          context_->loop->After(wait, [this] { OnShareWaitOver(); });
+      context_->on_share_short();
+    }
+    return;
+  }
+  if (verdict == BudgetShares::Verdict::kGranted) {
+    reserved_ = most;
+  }
+  context_->waiting.erase(this);
+  context_->loop->Cancel(&share_timer_);
+  waits_for_share_ = false;
+  Attempt();
+}
+
+void RelayTask::OnSharesChanged() {
+  ReserveOrWait();
+}
+
+void RelayTask::OnShareWaitOver() {
+  context_->waiting.erase(this);
+  waits_for_share_ = false;
+  const int64_t most = prompt_->most_tokens();
+  if (context_->shares.IsExhausted(context_->loop->Now(), organisation_->name,
+                                   most)) {
+    Fail(402, "Payment Required", "budget_exhausted");
+    return;
+  }
+  Refuse("no_share", kNoShareWait);
+}
+
+// --- Attempts --------------------------------------------------------------
+
+Millis RelayTask::Remaining() const {
+  return ends_ - context_->loop->Now();
+}
+
+void RelayTask::Attempt() {
+  const Millis now = context_->loop->Now();
+  Placement::Request wanted;
+  wanted.service = service_;
+  wanted.prompt = prompt_ ? &*prompt_ : nullptr;
+  wanted.chain = &chain_;
+  wanted.tried = &tried_;
+  const auto choice =
+      context_->placement.Choose(now, wanted, context_->Draw());
+  if (!choice) {
+    if (may_have_run_) {
+      Fail(502, "Bad Gateway", "no_other_endpoint");
+    } else {
+      Refuse("no_endpoint", kNoEndpointWait);
+    }
+    return;
+  }
+  const EndpointState* state =
+      context_->board.Find(choice->id, choice->born);
+  CHECK(state != nullptr) << "event=chosen_endpoint_unknown";
+  const Millis limit =
+      std::min(Remaining(), Scale(route_->patience, kPatiencePart));
+  if (!head_sent_ && !may_have_run_ && choice->predicted > limit) {
+    Refuse("overloaded", choice->predicted - route_->objective);
+    return;
+  }
+  tried_.insert(choice->hash);
+  ++dials_;
+  ticket_ = context_->board.OnSent(now, *state, choice->prompt_tokens,
+                                   choice->predicted);
+  context_->memory.OnRead(now, chain_, choice->hash);
+  LogLine(context_->log, "send")
+      .Add("id", request_id_)
+      .Add("endpoint", choice->id)
+      .Add("service", service_->name)
+      .Add("config", config_->version())
+      .Add("predicted_ms", choice->predicted)
+      .Add("to_read", choice->prompt_tokens)
+      .Add("queued", state->prompt_tokens())
+      .Add("open", state->open())
+      .Add("left_ms", Remaining());
+  EndpointCall::Options options;
+  options.endpoint = choice->hash;
+  options.address = choice->address;
+  options.expects_body = request_.method != "HEAD";
+  options.connect_timeout = std::min(kConnectTimeout, Remaining());
+  options.unacknowledged = kUnacknowledged;
+  options.max_idle = route_->repeatable() ? kMaxIdle : kMaxIdleOnce;
+  call_ = std::make_unique<EndpointCall>(context_->loop, &context_->pool,
+                                         options, this);
+  answer_kind_ = AttemptOutcome::kAnswered;
+  call_->Start(RequestHead(*choice), request_.body);
+  ArmSilenceTimer(choice->predicted);
+}
+
+std::string RelayTask::RequestHead(const Placement::Choice& choice) const {
+  const CallDialect& dialect = context_->dialect;
+  std::string head =
+      absl::StrCat(request_.method, " ", request_.target, " HTTP/1.1\r\n");
+  const auto connection_names = request_.fields.Find("Connection");
+  for (const HttpField& it : request_.fields.all()) {
+    const bool own = std::any_of(
+        dialect.not_forwarded.begin(), dialect.not_forwarded.end(),
+        [&](const std::string& name) {
+          return EqualsIgnoringCase(name, it.name);
+        });
+    const bool resumes = head_sent_ &&
+                         EqualsIgnoringCase(it.name, dialect.last_event_id);
+    const bool named =
+        connection_names && absl::StrContains(
+                                absl::AsciiStrToLower(AsAbsl(*connection_names)),
+                                absl::AsciiStrToLower(it.name));
+    if (!own && !resumes && !named && !IsHopByHopField(it.name) &&
+        !EqualsIgnoringCase(it.name, "Content-Length")) {
+      absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
+    }
+  }
+  absl::StrAppend(&head, dialect.deadline, ": ",
+                  std::max<int64_t>(1, (Remaining() + kEndMargin).count()),
+                  "\r\n", dialect.expected_endpoint, ": ", choice.id, "\r\n");
+  if (organisation_ != nullptr) {
+    absl::StrAppend(&head, dialect.organisation, ": ", organisation_->name,
+                    "\r\n");
+  }
+  if (prompt_) {
+    absl::StrAppend(&head, dialect.priority, ": ", std::min(rank_, 9), "\r\n");
+  }
+  if (!choice.fetch_from.empty()) {
+    absl::StrAppend(&head, dialect.fetch_prefix_from, ": ", choice.fetch_from,
+                    "\r\n");
+  }
+  if (head_sent_) {
+    absl::StrAppend(&head, dialect.last_event_id, ": ", cutter_.last_id(),
+                    "\r\n");
+  }
+  const bool framed = !request_.body->empty() ||
+                      request_.fields.Count("Content-Length") > 0 ||
+                      request_.fields.Count("Transfer-Encoding") > 0;
+  if (framed) {
+    absl::StrAppend(&head, "Content-Length: ", request_.body->size(), "\r\n");
+  }
+  absl::StrAppend(&head, "\r\n");
+  return head;
+}
+
+void RelayTask::ArmSilenceTimer(Millis predicted) {
+  context_->loop->Cancel(&silence_timer_);
+  if (!route_->repeatable() || !call_) {
+    return;
+  }
+  const Millis late =
+      std::max(kLeastSilence, std::min(predicted * kSilenceFactor,
+                                       Scale(Remaining(), kSilencePart)));
+  silence_timer_ = context_->loop->After(late, [this] { OnSilence(); });
+}
+
+void RelayTask::OnSilence() {
+  if (!call_ || !ticket_ || ticket_->answered) {
+    return;
+  }
+  // The attempt counts as sent while the next one is weighed.
+  RequestProgress progress = Progress();
+  if (call_->sent()) {
+    ++progress.sends;
+    progress.may_have_run = true;
+  }
+  const NextStep step = StepAfterAttempt(progress, AttemptOutcome::kSilent);
+  if (step == NextStep::kTryAnother || step == NextStep::kResume) {
+    FinishAttempt(AttemptOutcome::kSilent, "no answer in time");
+  }
+}
+
+RequestProgress RelayTask::Progress() const {
+  RequestProgress progress;
+  progress.kind = route_->kind;
+  progress.resumable = route_->resumable;
+  progress.max_attempts = route_->max_attempts;
+  progress.sends = sends_;
+  progress.dials = dials_;
+  progress.may_have_run = may_have_run_;
+  progress.head_sent = head_sent_;
+  progress.event_sent = cutter_.count() > 0;
+  progress.retry_allowed =
+      context_->Retries(service_->name).HasRetry();
+  progress.crashes_endpoints = context_->crashes.IsSuspect(content_);
+  const auto usable =
+      context_->board.Usable(context_->loop->Now(), service_->name);
+  progress.endpoint_left =
+      std::any_of(usable.begin(), usable.end(), [&](const EndpointState* it) {
+        return !tried_.contains(it->hash);
+      });
+  progress.remaining = Remaining();
+  return progress;
+}
+
+void RelayTask::FinishAttempt(AttemptOutcome outcome,
+                              const std::string& reason) {
+  context_->loop->Cancel(&silence_timer_);
+  const bool sent = call_ != nullptr && call_->sent();
+  if (outcome != AttemptOutcome::kNotSent && sent) {
+    ++sends_;
+  }
+  const bool ran = outcome != AttemptOutcome::kNotSent &&
+                   outcome != AttemptOutcome::kRefused &&
+                   outcome != AttemptOutcome::kMisdirected;
+  may_have_run_ = may_have_run_ || ran;
+  if (outcome == AttemptOutcome::kBroken && ticket_) {
+    context_->crashes.OnBroken(context_->loop->Now(), content_,
+                               ticket_->hash);
+  }
+  if (outcome == AttemptOutcome::kNotSent && ticket_) {
+    context_->crashes.OnEndpointDown(context_->loop->Now(), ticket_->hash);
+  }
+  if (outcome != AttemptOutcome::kAnswered) {
+    context_->metrics->Count(absl::StrCat("attempts_failed_total{outcome=\"",
+                                          static_cast<int>(outcome), "\"}"));
+    LogLine(context_->log, "attempt_failed")
+        .Add("id", request_id_)
+        .Add("endpoint", ticket_ ? ticket_->id : "")
+        .Add("outcome", static_cast<int>(outcome))
+        .AddQuoted("reason", reason)
+        .Add("sent", sent)
+        .Add("events", cutter_.count());
+  }
+  ReportOutcome(outcome);
+  call_.reset();
+  Step(StepAfterAttempt(Progress(), outcome), outcome);
+}
+
+void RelayTask::ReportOutcome(AttemptOutcome outcome) {
+  if (!ticket_) {
+    return;
+  }
+  EndpointOutcome health = EndpointOutcome::kGood;
+  switch (outcome) {
+    case AttemptOutcome::kAnswered:
+      break;
+    case AttemptOutcome::kNotSent:
+      health = EndpointOutcome::kUnreachable;
+      break;
+    case AttemptOutcome::kRefused:
+      health = EndpointOutcome::kOverloaded;
+      break;
+    case AttemptOutcome::kMisdirected:
+      health = EndpointOutcome::kGone;
+      break;
+    case AttemptOutcome::kFailed:
+      health = EndpointOutcome::kFailed;
+      break;
+    case AttemptOutcome::kBroken:
+    case AttemptOutcome::kSilent:
+      health = EndpointOutcome::kLost;
+      break;
+  }
+  context_->board.OnEnded(context_->loop->Now(), &*ticket_, health);
+  ticket_.reset();
+}
+
+void RelayTask::Step(NextStep step, AttemptOutcome outcome) {
+  switch (step) {
+    case NextStep::kTryAnother:
+    case NextStep::kResume:
+      if (sends_ > 0) {
+        context_->Retries(service_->name).TakeRetry();
+        context_->metrics->Count("retries_total");
+      }
+      buffered_.clear();
+      cutter_.Restart();
+      Attempt();
+      return;
+    case NextStep::kDeliver:
+      if (head_sent_) {
+        EndStream();
+      } else {
+        DeliverBuffered();
+      }
+      return;
+    case NextStep::kRefuse:
+      Refuse("endpoint_refused", outcome == AttemptOutcome::kRefused
+                                     ? Scale(route_->objective, 0.5)
+                                     : kLeastRetryAfter);
+      return;
+    case NextStep::kBadGateway:
+      Fail(502, "Bad Gateway", "endpoint_failed");
+      return;
+    case NextStep::kTimeOut:
+      Fail(504, "Gateway Timeout", "endpoint_silent");
+      return;
+    case NextStep::kBreakOff:
+      BreakOff("endpoint_broke_off");
+      return;
+    case NextStep::kDrop:
+      return;
+  }
+}
+
+// --- Answers of the endpoint -----------------------------------------------
+
+AttemptOutcome RelayTask::Classify(const HttpReader& answer) const {
+  const CallDialect& dialect = context_->dialect;
+  const int status = answer.status();
+  if (status == 421) {
+    return AttemptOutcome::kMisdirected;
+  }
+  if (answer.fields().Count(dialect.not_run) > 0) {
+    return AttemptOutcome::kRefused;
+  }
+  const bool is_signed = answer.fields().Count(dialect.signature) == 1;
+  if (!is_signed || answer.fields().Count("Content-Encoding") > 0) {
+    return AttemptOutcome::kBroken;
+  }
+  if (status >= 500) {
+    return AttemptOutcome::kFailed;
+  }
+  return AttemptOutcome::kAnswered;
+}
+
+bool RelayTask::OnAnswerHead(const HttpReader& answer) {
+  const auto id = answer.fields().Find(context_->dialect.request_id);
+  if (id && *id != request_id_) {
+    LogLine(context_->log, "foreign_answer")
+        .Add("id", request_id_)
+        .Add("endpoint", ticket_ ? ticket_->id : "")
+        .Add("belongs_to", AsAbsl(*id));
+    return false;
+  }
+  answer_kind_ = Classify(answer);
+  if (ticket_) {
+    context_->board.OnFirstByte(context_->loop->Now(), &*ticket_);
+  }
+  context_->loop->Cancel(&silence_timer_);
+  if (head_sent_) {
+    return true;
+  }
+  answer_ = {};
+  answer_.status = answer.status();
+  answer_.reason = answer.reason();
+  for (const HttpField& it : answer.fields().all()) {
+    if (!IsHopByHopField(it.name) &&
+        !EqualsIgnoringCase(it.name, "Content-Length")) {
+      answer_.fields.Add(it.name, it.value);
+    }
+  }
+  const auto type = answer.fields().Find("Content-Type");
+  raw_ = !type || type->find("event-stream") == std::string_view::npos;
+  return true;
+}
+
+bool RelayTask::StreamsNow() const {
+  return route_->kind == CallKind::kStream &&
+         answer_kind_ == AttemptOutcome::kAnswered;
+}
+
+void RelayTask::OnAnswerBody(std::string* body) {
+  if (StreamsNow() && !raw_) {
+    const std::string bytes = std::move(*body);
+    body->clear();
+    ForwardEvents(cutter_.Feed(bytes));
+    return;
+  }
+  buffered_ += *body;
+  body->clear();
+  if (head_sent_ && buffered_.size() > 0) {
+    connection_->WriteBody(buffered_);
+    buffered_.clear();
+  } else if (buffered_.size() > kHeldBytes) {
+    head_sent_ = true;
+    connection_->BeginAnswer(answer_);
+    connection_->WriteBody(buffered_);
+    buffered_.clear();
+  }
+  if (call_ && connection_->congested()) {
+    call_->PauseReading(true);
+  }
+}
+
+void RelayTask::ForwardEvents(const std::string& bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  if (!head_sent_) {
+    head_sent_ = true;
+    first_event_at_ = context_->loop->Now();
+    connection_->BeginAnswer(answer_);
+  }
+  connection_->WriteBody(bytes);
+  if (call_ && connection_->congested()) {
+    call_->PauseReading(true);
+  }
+}
+
+void RelayTask::OnCallerDrained() {
+  if (call_) {
+    call_->PauseReading(false);
+  }
+}
+
+void RelayTask::OnAnswerDone() {
+  if (head_sent_ && answer_kind_ != AttemptOutcome::kAnswered) {
+    // The endpoint that should go on with a stream did not.
+    FinishAttempt(answer_kind_, "the stream was not resumed");
+    return;
+  }
+  FinishAttempt(answer_kind_, "answer");
+}
+
+void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
+  FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
+                std::string(status.message()));
+}
+
+void RelayTask::DeliverBuffered() {
+  finished_ = true;
+  buffered_ += cutter_.TakeRest();
+  context_->loop->Cancel(&end_timer_);
+  LogEnd(answer_.status, "delivered", "");
+  connection_->Answer(answer_, buffered_);
+}
+
+void RelayTask::EndStream() {
+  finished_ = true;
+  context_->loop->Cancel(&end_timer_);
+  connection_->WriteBody(cutter_.TakeRest());
+  LogEnd(answer_.status, "delivered", "");
+  connection_->EndAnswer();
+}
+
+// --- Own answers -----------------------------------------------------------
+
+Millis RelayTask::RetryAfter(Millis wanted) const {
+  // Returners are spread, so that they do not come in one wave.
+  const Millis spread = Scale(wanted, 0.75 + 0.5 * context_->Draw());
+  const Millis longest =
+      route_ == nullptr ? kMostRetryAfter : Scale(Remaining(), kRetryAfterPart);
+  return std::max(Millis(1), std::min({std::max(spread, kLeastRetryAfter),
+                                       longest, kMostRetryAfter}));
+}
+
+void RelayTask::Refuse(const char* reason, Millis retry_after) {
+  CHECK(!may_have_run_) << "event=refused_after_run id=" << request_id_;
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  const Millis wait = RetryAfter(retry_after);
+  AnswerHead head;
+  head.status = 503;
+  head.reason = "Service Unavailable";
+  head.fields.Add("Retry-After",
+                  absl::StrFormat("%.3f", static_cast<double>(wait.count()) /
+                                              1000.0));
+  if (!request_id_.empty()) {
+    head.fields.Add(context_->dialect.request_id, request_id_);
+  }
+  LogEnd(503, "refused", reason);
+  connection_->Answer(head, "");
+}
+
+void RelayTask::Fail(int status, const char* text, const char* reason) {
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  AnswerHead head;
+  head.status = status;
+  head.reason = text;
+  if (!request_id_.empty()) {
+    head.fields.Add(context_->dialect.request_id, request_id_);
+  }
+  LogEnd(status, "failed", reason);
+  connection_->Answer(head, "");
+}
+
+void RelayTask::BreakOff(const char* reason) {
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  LogEnd(0, "broken_off", reason);
+  connection_->BreakOff();
+}
+
+void RelayTask::OnTimeUp() {
+  const bool open = call_ != nullptr && call_->sent();
+  may_have_run_ = may_have_run_ || open;
+  if (ticket_) {
+    if (!ticket_->answered) {
+      ReportOutcome(AttemptOutcome::kSilent);
+    } else {
+      context_->board.OnAbandoned(&*ticket_);
+      ticket_.reset();
+    }
+  }
+  call_.reset();
+  context_->waiting.erase(this);
+  context_->loop->Cancel(&share_timer_);
+  switch (StepAtTimeout(Progress(), open)) {
+    case NextStep::kBreakOff:
+      BreakOff("time_up");
+      return;
+    case NextStep::kRefuse:
+      Refuse("time_up", kLeastRetryAfter);
+      return;
+    default:
+      Fail(504, "Gateway Timeout", "time_up");
+      return;
+  }
+}
+
+// --- Accounts --------------------------------------------------------------
+
+void RelayTask::Settle() {
+  if (reserved_ == 0) {
+    return;
+  }
+  int64_t spent = 0;
+  if (may_have_run_ || (call_ != nullptr && call_->sent())) {
+    const int64_t output =
+        service_->event_tokens > 0
+            ? std::min(prompt_->max_output_tokens,
+                       cutter_.count() * service_->event_tokens)
+            : prompt_->max_output_tokens;
+    spent = prompt_->prompt_tokens + output;
+  }
+  LogLine(context_->log, "charge")
+      .Add("id", request_id_)
+      .Add("organisation", organisation_->name)
+      .Add("reserved", reserved_)
+      .Add("spent", spent)
+      .Add("left_in_share", context_->shares.Available(organisation_->name));
+  context_->shares.Settle(organisation_->name, reserved_, spent);
+  reserved_ = 0;
+}
+
+void RelayTask::LogEnd(int status,
+                       const char* outcome,
+                       const std::string& reason) {
+  const Millis now = context_->loop->Now();
+  context_->metrics->Count(absl::StrCat("requests_total{outcome=\"", outcome,
+                                        "\",reason=\"", reason, "\"}"));
+  context_->metrics->Observe(
+      "request_ms", static_cast<double>((now - request_.began).count()));
+  if (first_event_at_ > Millis(0)) {
+    context_->metrics->Observe(
+        "first_event_ms",
+        static_cast<double>((first_event_at_ - request_.began).count()));
+  }
+  LogLine line(context_->log, "request_end");
+  line.Add("id", request_id_)
+      .Add("status", status)
+      .Add("outcome", outcome)
+      .AddQuoted("reason", reason)
+      .Add("route", route_ ? route_->name : "")
+      .Add("organisation", organisation_ ? organisation_->name : "")
+      .Add("config", config_ ? config_->version() : 0)
+      .Add("ms", now - request_.began)
+      .Add("sends", sends_)
+      .Add("events", cutter_.count());
+  if (first_event_at_ > Millis(0)) {
+    line.Add("first_event_ms", first_event_at_ - request_.began);
+  }
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/src/transport/socket_address.h
@@ -0,0 +1,24 @@
+#ifndef TRANSPORT_SOCKET_ADDRESS_H_
+#define TRANSPORT_SOCKET_ADDRESS_H_
+
+#include <netinet/in.h>
+
+#include <string>
+
+#include "absl/status/statusor.h"
+
+namespace tamaracktrail {
+
+//! Reads "ip:port" with a numeric IPv4 address. Thread-safe.
+absl::StatusOr<sockaddr_in> ParseSocketAddress(const std::string& text);
+
+//! A listening, non-blocking TCP socket. Errors: the address cannot be read or
+//! bound. The caller owns the descriptor. Thread-safe.
+absl::StatusOr<int> ListenTcp(const std::string& address);
+
+//! A bound, non-blocking UDP socket. Errors and ownership as above.
+absl::StatusOr<int> BindUdp(const std::string& address);
+
+}  // namespace tamaracktrail
+
+#endif  // TRANSPORT_SOCKET_ADDRESS_H_
