--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -1,29 +1,37 @@
 #include "coordination/budget_shares.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
-#include <glog/logging.h>
-
 namespace tamaracktrail {
 
 namespace {
 
-//! A share covers this much demand while the budget is untouched: about as long
-//! as the platform's log may be out of reach.
-constexpr double kLongestCoverSeconds = 9;
-//! Near the end of a budget a share covers little, so that what remains is
-//! where requests come.
-constexpr double kShortestCoverSeconds = 1;
+//! A share covers this much demand: instances are cut off from the platform for
+//! up to about 9 s at a time, and demand is uneven.
+constexpr double kCoverSeconds = 13;
+
+//! Part of its fair share of what is left that an instance holds at most; the
+//! rest goes to whoever needs it first.
+constexpr double kFairPart = 0.9;
 
-//! Part of what is undrawn that all instances together hold without demand, so
+//! Part of what is left that all instances together hold without demand, so
 //! that the first requests of an organisation need not wait for the log.
-constexpr double kIdlePart = 0.08;
+constexpr double kIdlePart = 0.1;
+
+//! Weight of the assumption that all instances spend alike, against what they
+//! have spent, as a part of the budget.
+constexpr double kEvenPart = 0.03;
 
 //! A share is filled up below this part of its target, and given back above
 //! this multiple; the gap between them bounds the appends.
-constexpr double kRefillBelow = 0.5;
-constexpr double kGiveBackAbove = 2.5;
+constexpr double kRefillBelow = 0.8;
+constexpr double kGiveBackAbove = 2;
+//! The same while the claims exceed the budget.
+constexpr double kGiveBackWhenShort = 1.1;
 
 //! A request that still waits asks again well within this time.
 constexpr Millis kNeedLasts{300};
@@ -31,10 +39,31 @@
 //! A look at the log counts as recent for this long.
 constexpr Millis kRecentLook{1500};
 
+//! How long a beat locks shares: a killed process is back within some 2 s, and
+//! the newest beat is up to half a second old by then.
+constexpr Millis kLockTime{3000};
+//! Pace of beats of a few instances, and of many, whose records all read.
+constexpr Millis kBeatPause{500};
+constexpr Millis kManyBeatPause{1000};
+constexpr int kManyInstances = 16;
+
+//! The locked part covers this much demand, and some requests of usual size.
+constexpr double kLockSeconds = 3.5;
+constexpr double kLockRequests = 1;
+//! Bounds within which a lock is kept as it is.
+constexpr double kRelockBelow = 0.5;
+constexpr double kRelockAbove = 2;
+
+//! Weight of one reservation in the usual size.
+constexpr double kUsualWeight = 0.1;
+
+//! Demand is not taken to be known before this.
+constexpr double kLeastDemandSeconds = 0.7;
+constexpr double kDemandSeconds = 5;
+
 }  // namespace
 
-BudgetShares::BudgetShares(std::string self, uint64_t incarnation)
-    : self_(std::move(self)), incarnation_(incarnation) {}
+BudgetShares::BudgetShares(Identity self) : self_(std::move(self)) {}
 
 void BudgetShares::SetBudgets(const std::vector<Organisation>& organisations) {
   for (const Organisation& it : organisations) {
@@ -43,7 +72,7 @@
         it.prepaid && account.prepaid && *it.prepaid < *account.prepaid;
     account.prepaid = it.prepaid;
     if (lowered) {
-      account.accepted = account.spent + account.reserved;
+      account.accepted = account.in_use();
     }
   }
 }
@@ -52,9 +81,11 @@
   instances_ = std::max(1, n);
 }
 
+// --- Records ---------------------------------------------------------------
+
 void BudgetShares::Apply(const BudgetClaim& claim) {
   Account& account = accounts_[claim.organisation];
-  if (claim.instance == self_) {
+  if (claim.instance == self_.instance) {
     ApplyOwn(&account, claim);
     return;
   }
@@ -64,32 +95,72 @@
   known = claim;
 }
 
+void BudgetShares::Apply(const BudgetBeat& beat) {
+  if (beat.instance != self_.instance ||
+      beat.incarnation == self_.incarnation) {
+    return;
+  }
+  predecessor_beat_ = beat;
+  for (auto& [name, account] : accounts_) {
+    CountPredecessor(&account);
+  }
+}
+
+void BudgetShares::CountPredecessor(Account* account) {
+  // Only a fenced predecessor of the same name writes these records.
+  const bool lock_held =
+      predecessor_beat_ &&
+      predecessor_beat_->incarnation == account->predecessor.incarnation &&
+      !self_.boot.empty() && predecessor_beat_->boot == self_.boot &&
+      alone_since_ >= predecessor_beat_->at &&
+      alone_since_ < predecessor_beat_->at + kLockTime;
+  account->base_claimed =
+      lock_held ? account->predecessor.locked : account->predecessor.claimed;
+  account->base_spent = account->predecessor.spent;
+}
+
 void BudgetShares::ApplyOwn(Account* account, const BudgetClaim& claim) {
-  if (claim.incarnation != incarnation_) {
-    // Only a predecessor can have written it: its epoch was fenced before this
-    // process's first append.
-    account->base_claimed = claim.claimed;
-    account->base_spent = claim.spent;
+  if (claim.incarnation != self_.incarnation) {
+    CHECK_EQ(account->logged, 0) << "event=predecessor_not_fenced";
+    account->predecessor = claim;
+    CountPredecessor(account);
     return;
   }
   account->logged = claim.claimed - account->base_claimed;
-  if (account->waiting_for_log) {
-    account->waiting_for_log = false;
-    --in_flight_;
-  }
   const int64_t room = account->prepaid
                            ? *account->prepaid - account->others_claimed -
                                  account->base_claimed
                            : 0;
   account->accepted =
       std::max(account->accepted, std::min(account->logged, room));
-  if (account->available() >= account->needed) {
-    account->needed = 0;
-  }
-  CHECK_GE(account->accepted, account->spent + account->reserved)
+  CHECK_GE(account->accepted, account->in_use())
       << "event=share_overspent organisation=" << claim.organisation;
 }
 
+void BudgetShares::OnSynced(Millis now) {
+  synced_ = now;
+  for (auto& [name, account] : accounts_) {
+    if (account.needed > 0 && AvailableIn(now, account) >= account.needed) {
+      account.needed = 0;
+    }
+  }
+}
+
+// --- Requests --------------------------------------------------------------
+
+int64_t BudgetShares::AvailableIn(Millis now, const Account& account) const {
+  int64_t limit = account.accepted;
+  if (beat_at_ > Millis(0) && now < beat_at_ + kLockTime) {
+    limit = std::min(limit, account.locked);
+  }
+  // Whether a batch on its way has arrived is not known: both locks hold.
+  if (in_flight_ && next_beat_at_ > Millis(0) &&
+      now < next_beat_at_ + kLockTime) {
+    limit = std::min(limit, account.next_locked.value_or(account.locked));
+  }
+  return std::max<int64_t>(0, limit - account.in_use());
+}
+
 BudgetShares::Verdict BudgetShares::Reserve(Millis now,
                                             const std::string& organisation,
                                             int64_t tokens) {
@@ -98,12 +169,17 @@
     return Verdict::kUnlimited;
   }
   Account& account = it->second;
-  account.largest = std::max(tokens, account.largest * 9 / 10);
-  if (account.available() < tokens) {
+  if (AvailableIn(now, account) < tokens) {
     account.needed = std::max(account.needed, tokens);
     account.needed_at = now;
     return Verdict::kShort;
   }
+  if (account.first_demand == Millis(0)) {
+    account.first_demand = now;
+  }
+  const auto size = static_cast<double>(tokens);
+  account.usual += (account.usual == 0 ? 1 : kUsualWeight) *
+                   (size - account.usual);
   account.demand.Add(now, tokens);
   account.reserved += tokens;
   return Verdict::kGranted;
@@ -133,97 +209,161 @@
          tokens;
 }
 
+// --- Sizes -----------------------------------------------------------------
+
+double BudgetShares::DemandRate(Millis now, const Account& account) const {
+  if (account.first_demand == Millis(0)) {
+    return 0;
+  }
+  // A smoothed rate that began at zero is too low at first.
+  const double age = std::max(
+      kLeastDemandSeconds,
+      static_cast<double>((now - account.first_demand).count()) / 1000);
+  return account.demand.PerSecond(now) / (1 - std::exp(-age / kDemandSeconds));
+}
+
 int64_t BudgetShares::Target(Millis now, const Account& account) const {
-  const auto pool = static_cast<double>(std::max<int64_t>(
-      0, *account.prepaid - account.others_claimed - account.base_claimed -
-             account.spent - account.reserved));
-  const double full = std::max<double>(1, static_cast<double>(*account.prepaid));
-  const double seconds =
-      std::clamp(kLongestCoverSeconds * 1.5 * pool / full,
-                 kShortestCoverSeconds, kLongestCoverSeconds);
-  const double rate = account.demand.PerSecond(now);
-  double wanted = std::max(rate * seconds, pool * kIdlePart / instances_);
-  if (rate > 0) {
-    wanted = std::max(wanted, static_cast<double>(account.largest));
-  }
-  // All instances may draw at the same moment.
-  wanted = std::min(wanted, pool / instances_);
+  const auto prepaid = static_cast<double>(*account.prepaid);
+  const auto own = static_cast<double>(account.spent);
+  const double all = own + static_cast<double>(account.others_spent);
+  const double left =
+      std::max(0.0, prepaid - all - static_cast<double>(account.base_claimed));
+  const double even = kEvenPart * prepaid / instances_;
+  const double fair =
+      left * (own + even) / (all + even * static_cast<double>(instances_));
+  double wanted = DemandRate(now, account) * kCoverSeconds;
+  wanted = std::max(wanted, left * kIdlePart / instances_);
+  wanted = std::max(wanted, 2 * account.usual);
+  wanted = std::min(wanted, fair * kFairPart);
+  if (wanted < account.usual) {
+    // Too little for one request: what is left is drawn request by request.
+    wanted = 0;
+  }
   return std::max(static_cast<int64_t>(wanted), account.needed);
 }
 
-std::optional<int64_t> BudgetShares::PlanAccount(Millis now,
-                                                 Account* account) const {
-  if (!account->prepaid || account->waiting_for_log) {
-    return std::nullopt;
-  }
-  const int64_t target = Target(now, *account);
-  const auto available = static_cast<double>(account->available());
-  const int64_t in_use = account->spent + account->reserved;
-  const auto wanted = static_cast<double>(target);
-  const bool overdrawn = account->undrawn() < 0;
-  if (account->needed > 0 || available < wanted * kRefillBelow) {
-    const int64_t raised = in_use + target;
-    if (raised > account->logged && account->undrawn() > 0) {
-      return raised;
-    }
-  }
-  if (available > wanted * kGiveBackAbove ||
-      (overdrawn && available > wanted * kRefillBelow) ||
-      account->logged > account->accepted) {
-    // Spending stops before the log hears of it.
-    account->accepted =
-        std::min(account->accepted, std::max(in_use, in_use + target));
-    if (account->accepted < account->logged) {
-      return account->accepted;
-    }
-  }
-  return std::nullopt;
+int64_t BudgetShares::LockTarget(Millis now, const Account& account) const {
+  const double wanted =
+      DemandRate(now, account) * kLockSeconds + kLockRequests * account.usual;
+  return std::max(static_cast<int64_t>(wanted), account.needed);
 }
 
+// --- Batches ---------------------------------------------------------------
+
 BudgetClaim BudgetShares::MakeClaim(const std::string& name,
-                                    const Account& account) const {
+                                    const Account& account,
+                                    int64_t own_claimed,
+                                    int64_t own_locked) const {
   BudgetClaim claim;
-  claim.instance = self_;
+  claim.instance = self_.instance;
   claim.organisation = name;
-  claim.incarnation = incarnation_;
-  claim.claimed = account.base_claimed;
+  claim.incarnation = self_.incarnation;
+  claim.claimed = account.base_claimed + own_claimed;
+  claim.locked = account.base_claimed + own_locked;
   claim.spent = account.base_spent + account.spent;
   return claim;
 }
 
-std::vector<BudgetClaim> BudgetShares::PlanClaims(Millis now) {
-  std::vector<BudgetClaim> claims;
-  if (in_flight_ > 0 || synced_ < Millis(0)) {
-    return claims;
+bool BudgetShares::PlanAccount(Millis now,
+                               Account* account,
+                               BudgetClaim* claim) const {
+  const int64_t in_use = account->in_use();
+  const int64_t target = Target(now, *account);
+  const auto held = static_cast<double>(account->accepted - in_use);
+  const auto wanted = static_cast<double>(target);
+  int64_t claimed = account->logged;
+  const bool short_of_budget = account->undrawn() < 0;
+  if ((held < wanted * kRefillBelow ||
+       held < static_cast<double>(account->needed)) &&
+      account->undrawn() > 0) {
+    claimed = std::max(account->logged, in_use + target);
+  } else if (held > wanted * (short_of_budget ? kGiveBackWhenShort
+                                              : kGiveBackAbove) ||
+             account->logged > account->accepted) {
+    // Spending stops before the log hears of it.
+    account->accepted = std::min(account->accepted, in_use + target);
+    claimed = std::min(account->logged, account->accepted);
+  }
+  const int64_t lock = LockTarget(now, *account);
+  const auto unlocked = static_cast<double>(account->locked - in_use);
+  int64_t locked = account->locked;
+  if (unlocked < static_cast<double>(lock) * kRelockBelow ||
+      unlocked > static_cast<double>(lock) * kRelockAbove ||
+      unlocked < static_cast<double>(account->needed)) {
+    locked = in_use + lock;
+  }
+  // What is in use may exceed an old lock that has passed.
+  locked = std::clamp(locked, in_use, std::max(in_use, claimed));
+  if (claimed == account->logged && locked == account->locked) {
+    return false;
+  }
+  *claim = MakeClaim("", *account, claimed, locked);
+  return true;
+}
+
+ClaimBatch BudgetShares::Plan(Millis now) {
+  ClaimBatch batch;
+  if (in_flight_ || synced_ < Millis(0)) {
+    return batch;
   }
   for (auto& [name, account] : accounts_) {
     if (now - account.needed_at > kNeedLasts) {
       account.needed = 0;
     }
-    if (const auto own = PlanAccount(now, &account)) {
-      claims.push_back(MakeClaim(name, account));
-      claims.back().claimed += *own;
-      account.waiting_for_log = true;
-      ++in_flight_;
+    BudgetClaim claim;
+    if (account.prepaid && PlanAccount(now, &account, &claim)) {
+      claim.organisation = name;
+      batch.raises = batch.raises ||
+                     claim.claimed > account.base_claimed + account.logged;
+      batch.claims.push_back(std::move(claim));
     }
   }
-  return claims;
+  const Millis pause =
+      instances_ > kManyInstances ? kManyBeatPause : kBeatPause;
+  if (!batch.claims.empty() || now - beat_at_ >= pause) {
+    Launch(now, &batch);
+  }
+  return batch;
+}
+
+ClaimBatch BudgetShares::PlanReturn(Millis now) {
+  ClaimBatch batch;
+  if (in_flight_ || synced_ < Millis(0)) {
+    return batch;
+  }
+  for (auto& [name, account] : accounts_) {
+    const int64_t in_use = account.in_use();
+    if (account.logged > in_use) {
+      account.accepted = in_use;
+      batch.claims.push_back(MakeClaim(name, account, in_use, in_use));
+    }
+  }
+  if (!batch.claims.empty()) {
+    Launch(now, &batch);
+  }
+  return batch;
+}
+
+void BudgetShares::Launch(Millis now, ClaimBatch* batch) {
+  batch->beat =
+      BudgetBeat{self_.instance, self_.incarnation, self_.boot, now};
+  next_beat_at_ = now;
+  in_flight_ = true;
+  for (const BudgetClaim& it : batch->claims) {
+    Account& account = accounts_.at(it.organisation);
+    account.next_locked = it.locked - account.base_claimed;
+  }
 }
 
-std::vector<BudgetClaim> BudgetShares::PlanReturn() {
-  std::vector<BudgetClaim> claims;
+void BudgetShares::OnAppended() {
+  CHECK(in_flight_) << "event=append_not_planned";
+  in_flight_ = false;
+  beat_at_ = std::exchange(next_beat_at_, Millis(0));
   for (auto& [name, account] : accounts_) {
-    const int64_t in_use = account.spent + account.reserved;
-    if (account.waiting_for_log || account.logged <= in_use) {
-      continue;
+    if (account.next_locked) {
+      account.locked = *std::exchange(account.next_locked, std::nullopt);
     }
-    account.accepted = in_use;
-    claims.push_back(MakeClaim(name, account));
-    claims.back().claimed += in_use;
-    account.waiting_for_log = true;
-    ++in_flight_;
   }
-  return claims;
 }
 
 bool BudgetShares::HasWaiting(Millis now) const {
@@ -232,9 +372,10 @@
   });
 }
 
-int64_t BudgetShares::Available(const std::string& organisation) const {
+int64_t BudgetShares::Available(Millis now,
+                                const std::string& organisation) const {
   const auto it = accounts_.find(organisation);
-  return it == accounts_.end() ? 0 : it->second.available();
+  return it == accounts_.end() ? 0 : AvailableIn(now, it->second);
 }
 
 int64_t BudgetShares::Claimed(const std::string& organisation) const {
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "coordination/claim_batch.h"
 #include "coordination/rate_meter.h"
+#include "state/budget_beat.h"
 #include "state/budget_claim.h"
 #include "state/millis.h"
 #include "state/organisation.h"
@@ -22,8 +24,11 @@
 //! Every instance adds up the claims as they stand, granted or not, so what it
 //! sees is never less than what was granted, and no sequence of records lets
 //! the instances together spend more than the total. The newest claim of each
-//! key is all the state there is: no history is needed to go on from it. Not
-//! thread-safe.
+//! key is all the state there is: no history is needed to go on from it.
+//!
+//! Shares are large, since an instance may be cut off from the log for long. So
+//! that a crash does not lose them, each beat locks most of them for a short
+//! time: see BudgetBeat. Not thread-safe.
 class BudgetShares {
  public:
   enum class Verdict {
@@ -32,8 +37,17 @@
     kShort,      //!< The share is too small; a larger one is asked for.
   };
 
-  //! `incarnation` is unique among all processes under this name.
-  BudgetShares(std::string self, uint64_t incarnation);
+  struct Identity {
+    std::string instance;
+    uint64_t incarnation = 0;  //!< Unique among all processes of this name.
+    std::string boot;          //!< Of this machine.
+  };
+
+  explicit BudgetShares(Identity self);
+
+  //! No predecessor of this name is alive at `now`, time since boot.
+  //! Precondition: no record was applied.
+  void SetAlone(Millis now) { alone_since_ = now; }
 
   //! A configuration came into force. A lowered total takes back what is not
   //! spent here.
@@ -42,11 +56,13 @@
   //! How many instances share the budgets, this one included.
   void SetInstances(int n);
 
-  //! A record of the log, in its order.
+  //! A record of the log, in its order. All records of predecessors come before
+  //! the first batch is planned.
   void Apply(const BudgetClaim& claim);
+  void Apply(const BudgetBeat& beat);
 
   //! All records up to this moment were applied.
-  void OnSynced(Millis now) { synced_ = now; }
+  void OnSynced(Millis now);
 
   //! Takes `tokens` out of the share for one request.
   Verdict Reserve(Millis now, const std::string& organisation, int64_t tokens);
@@ -61,20 +77,19 @@
                    const std::string& organisation,
                    int64_t tokens) const;
 
-  //! Claims to append now; empty for none. They are taken as being on their
-  //! way until `Apply` has seen them all.
-  std::vector<BudgetClaim> PlanClaims(Millis now);
-
-  //! Claims that give back all that is not needed, for the end of the process.
-  std::vector<BudgetClaim> PlanReturn();
+  //! What to append now. A batch that is not empty is on its way until
+  //! `OnAppended`; meanwhile no other is planned.
+  ClaimBatch Plan(Millis now);
+  //! The same for the end of the process: gives back all that is not in use.
+  ClaimBatch PlanReturn(Millis now);
+  //! The log has the batch.
+  void OnAppended();
 
   //! Whether a request was short of a share a moment ago.
   bool HasWaiting(Millis now) const;
-  //! Whether claims are on their way to the log.
-  bool in_flight() const { return in_flight_ > 0; }
 
-  //! Tokens that may be spent without asking; 0 for an unknown organisation.
-  int64_t Available(const std::string& organisation) const;
+  //! Tokens that may be spent now; 0 for an unknown organisation.
+  int64_t Available(Millis now, const std::string& organisation) const;
   //! Sum of all known claims.
   int64_t Claimed(const std::string& organisation) const;
 
@@ -85,35 +100,51 @@
     std::map<std::string, BudgetClaim> others;
     int64_t others_claimed = 0;
     int64_t others_spent = 0;
-    //! Claims of predecessors under the same name; never spent here.
+    //! Newest claim of a predecessor under the same name.
+    BudgetClaim predecessor;
+    //! What counts of it: never spent here.
     int64_t base_claimed = 0;
     int64_t base_spent = 0;
-    int64_t logged = 0;    //!< Own claim on the log, without the base.
-    int64_t accepted = 0;  //!< Own tokens that were granted, spent included.
+    // Own tokens, without the base.
+    int64_t logged = 0;    //!< Own claim on the log.
+    int64_t accepted = 0;  //!< What was granted, spent included.
+    int64_t locked = 0;    //!< Limit of the newest lock that the log has.
+    std::optional<int64_t> next_locked;  //!< Of a batch on its way.
     int64_t spent = 0;
     int64_t reserved = 0;
     int64_t needed = 0;  //!< Largest reservation that was too large.
-    Millis needed_at;    //!< When that was.
-    int64_t largest = 0;  //!< Largest reservation of late.
-    bool waiting_for_log = false;
+    Millis needed_at;
+    double usual = 0;  //!< Smoothed size of reservations.
+    Millis first_demand;
     RateMeter demand{Millis(5000)};
 
-    int64_t available() const { return accepted - spent - reserved; }
+    int64_t in_use() const { return spent + reserved; }
     int64_t undrawn() const {
       return *prepaid - others_claimed - base_claimed - logged;
     }
   };
 
+  int64_t AvailableIn(Millis now, const Account& account) const;
+  double DemandRate(Millis now, const Account& account) const;
   int64_t Target(Millis now, const Account& account) const;
+  int64_t LockTarget(Millis now, const Account& account) const;
   void ApplyOwn(Account* account, const BudgetClaim& claim);
-  std::optional<int64_t> PlanAccount(Millis now, Account* account) const;
-  BudgetClaim MakeClaim(const std::string& name, const Account& account) const;
-
-  std::string self_;
-  uint64_t incarnation_;
+  void CountPredecessor(Account* account);
+  bool PlanAccount(Millis now, Account* account, BudgetClaim* claim) const;
+  BudgetClaim MakeClaim(const std::string& name,
+                        const Account& account,
+                        int64_t own_claimed,
+                        int64_t own_locked) const;
+  void Launch(Millis now, ClaimBatch* batch);
+
+  Identity self_;
   int instances_ = 1;
-  int in_flight_ = 0;
+  Millis alone_since_{-1};
+  bool in_flight_ = false;
   Millis synced_{-1};
+  std::optional<BudgetBeat> predecessor_beat_;
+  Millis beat_at_;       //!< Of the newest beat that the log has; 0 for none.
+  Millis next_beat_at_;  //!< Of a beat on its way; 0 for none.
   std::map<std::string, Account> accounts_;
 };
 
--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <limits>
 
 #include "absl/strings/str_cat.h"
 #include "protocol/text.h"
@@ -59,7 +60,8 @@
  public:
   explicit Parser(uint32_t max_header_bytes) {
     this->header_limit(max_header_bytes);
-    this->body_limit(boost::none);
+    // Bodies are bounded by their readers.
+    this->body_limit(std::numeric_limits<uint64_t>::max());
     this->eager(true);
   }
 
--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -20,14 +20,14 @@
 std::string EncodeBudgetClaim(const BudgetClaim& claim) {
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
-  archive(claim.incarnation, claim.claimed, claim.spent);
+  archive(claim.incarnation, claim.claimed, claim.locked, claim.spent);
   return out.str();
 }
 
 std::optional<BudgetClaim> DecodeBudgetClaim(const std::string& key,
                                              const std::string& value) {
   const size_t slash = key.find(kSeparator);
-  if (slash == std::string::npos) {
+  if (slash == std::string::npos || slash + 1 == key.size()) {
     return std::nullopt;
   }
   BudgetClaim claim;
@@ -36,8 +36,8 @@
   try {
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
-    archive(claim.incarnation, claim.claimed, claim.spent);
-  } catch (const cereal::Exception&) {
+    archive(claim.incarnation, claim.claimed, claim.locked, claim.spent);
+  } catch (const std::exception&) {
     return std::nullopt;
   }
   return claim;
--- a/src/state/budget_claim.h
+++ b/src/state/budget_claim.h
@@ -8,17 +8,17 @@
 namespace tamaracktrail {
 
 //! What an instance claims of an organisation's budget, as it stands on the
-//! log. Totals, so that a record replaces the one before it and a repeated one
-//! does no harm.
+//! log. Totals, predecessors of the same name included, so that a record
+//! replaces the one before it and a repeated one does no harm.
 struct BudgetClaim {
   std::string instance;
   std::string organisation;
   uint64_t incarnation = 0;
-  //! Tokens that this instance and its predecessors of the same name spent or
-  //! may still spend.
-  int64_t claimed = 0;
-  //! Of these, tokens known to be spent.
-  int64_t spent = 0;
+  int64_t claimed = 0;  //!< Tokens that were spent or may be.
+  //! Of these, what may be spent until the lock of the instance's newest beat
+  //! has passed.
+  int64_t locked = 0;
+  int64_t spent = 0;  //!< Of these, tokens known to be spent.
 
   friend bool operator==(const BudgetClaim&, const BudgetClaim&) = default;
 };
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -15,7 +15,7 @@
 constexpr Millis kFlushDelay{250};
 
 //! A write that is worth its system call.
-constexpr size_t kFlushBytes = 32 * 1024;
+constexpr size_t kFlushBytes = 8 * 1024;
 
 //! Bytes that wait at most; a reader that is further behind loses lines.
 constexpr size_t kMaxBufferedBytes = 512 * 1024;
--- a/src/transport/log_line.h
+++ b/src/transport/log_line.h
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "state/millis.h"
+#include "transport/clock.h"
 #include "transport/event_log.h"
 
 namespace tamaracktrail {
@@ -14,7 +15,7 @@
 class LogLine {
  public:
   LogLine(EventLog* log, const char* event) : log_(log) {
-    absl::StrAppend(&line_, "event=", event);
+    absl::StrAppend(&line_, "time_ms=", WallNow().count(), " event=", event);
   }
   ~LogLine() { log_->Write(line_); }
 
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -89,7 +89,8 @@
     Refuse(400, "Bad Request");
     return;
   }
-  const uint64_t announced = reader_->content_length().value_or(0);
+  const uint64_t announced =
+      reader_->head_done() ? reader_->content_length().value_or(0) : 0;
   if (reader_->head_done() &&
       std::max<uint64_t>(announced, reader_->body().size()) >
           limits().max_body_bytes) {
@@ -122,6 +123,7 @@
 void CallerConnection::Refuse(int status, const char* reason) {
   server_->OnBadRequest(status);
   keep_alive_ = false;
+  answer_begun_ = false;
   AnswerHead head;
   head.status = status;
   head.reason = reason;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -33,7 +33,7 @@
       options(std::move(deployment)),
       memory(kRememberedBeginnings),
       placement(&board, &memory, options.data_centre),
-      shares(options.instance, options.incarnation),
+      shares({options.instance, options.incarnation, options.boot}),
       pool(event_loop,
            [this](uint64_t endpoint) {
              crashes.OnEndpointDown(loop->Now(), endpoint);
