--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -10,9 +10,14 @@
 
 namespace {
 
-//! A share covers this much demand: instances are cut off from the platform for
-//! up to about 9 s at a time, and demand is uneven.
-constexpr double kCoverSeconds = 13;
+//! A share covers this much demand while the budget is rich: instances are cut
+//! off from the platform for up to about 9 s at a time.
+constexpr double kLongestCoverSeconds = 9.5;
+//! Near the end of the budget what a power loss would strand weighs more.
+constexpr double kShortestCoverSeconds = 2.5;
+//! Parts of the budget that are left where the one ends and the other begins.
+constexpr double kRichPart = 0.45;
+constexpr double kPoorPart = 0.15;
 
 //! Part of its fair share of what is left that an instance holds at most; the
 //! rest goes to whoever needs it first.
@@ -20,7 +25,7 @@
 
 //! Part of what is left that all instances together hold without demand, so
 //! that the first requests of an organisation need not wait for the log.
-constexpr double kIdlePart = 0.1;
+constexpr double kIdlePart = 0.02;
 
 //! Weight of the assumption that all instances spend alike, against what they
 //! have spent, as a part of the budget.
@@ -92,6 +97,7 @@
   BudgetClaim& known = account.others[claim.instance];
   account.others_claimed += claim.claimed - known.claimed;
   account.others_spent += claim.spent - known.spent;
+  account.others_dead += claim.dead - known.dead;
   known = claim;
 }
 
@@ -224,16 +230,22 @@
 
 int64_t BudgetShares::Target(Millis now, const Account& account) const {
   const auto prepaid = static_cast<double>(*account.prepaid);
-  const auto own = static_cast<double>(account.spent);
+  const auto own = static_cast<double>(account.base_spent + account.spent);
   const double all = own + static_cast<double>(account.others_spent);
-  const double left =
-      std::max(0.0, prepaid - all - static_cast<double>(account.base_claimed));
+  const double left = std::max(
+      0.0, prepaid - all -
+               static_cast<double>(account.dead() + account.others_dead));
   const double even = kEvenPart * prepaid / instances_;
   const double fair =
       left * (own + even) / (all + even * static_cast<double>(instances_));
-  double wanted = DemandRate(now, account) * kCoverSeconds;
+  const double wealth = std::clamp(
+      (left / std::max(1.0, prepaid) - kPoorPart) / (kRichPart - kPoorPart),
+      0.0, 1.0);
+  const double cover =
+      kShortestCoverSeconds +
+      wealth * (kLongestCoverSeconds - kShortestCoverSeconds);
+  double wanted = DemandRate(now, account) * cover;
   wanted = std::max(wanted, left * kIdlePart / instances_);
-  wanted = std::max(wanted, 2 * account.usual);
   wanted = std::min(wanted, fair * kFairPart);
   if (wanted < account.usual) {
     // Too little for one request: what is left is drawn request by request.
@@ -261,6 +273,7 @@
   claim.claimed = account.base_claimed + own_claimed;
   claim.locked = account.base_claimed + own_locked;
   claim.spent = account.base_spent + account.spent;
+  claim.dead = account.dead();
   return claim;
 }
 
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -100,6 +100,7 @@
     std::map<std::string, BudgetClaim> others;
     int64_t others_claimed = 0;
     int64_t others_spent = 0;
+    int64_t others_dead = 0;
     //! Newest claim of a predecessor under the same name.
     BudgetClaim predecessor;
     //! What counts of it: never spent here.
@@ -119,6 +120,7 @@
     RateMeter demand{Millis(5000)};
 
     int64_t in_use() const { return spent + reserved; }
+    int64_t dead() const { return base_claimed - base_spent; }
     int64_t undrawn() const {
       return *prepaid - others_claimed - base_claimed - logged;
     }
--- a/src/state/budget_claim.h
+++ b/src/state/budget_claim.h
@@ -19,6 +19,9 @@
   //! has passed.
   int64_t locked = 0;
   int64_t spent = 0;  //!< Of these, tokens known to be spent.
+  //! Of these, tokens of predecessors that nobody can spend any more, though
+  //! it is not known that they were spent.
+  int64_t dead = 0;
 
   friend bool operator==(const BudgetClaim&, const BudgetClaim&) = default;
 };
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 
 #include "absl/strings/str_cat.h"
@@ -15,7 +16,10 @@
 constexpr Millis kFlushDelay{250};
 
 //! A write that is worth its system call.
-constexpr size_t kFlushBytes = 8 * 1024;
+constexpr size_t kFlushBytes = 4 * 1024;
+
+//! One write; pipes take this much in one piece.
+constexpr size_t kWriteBytes = 4 * 1024;
 
 //! Bytes that wait at most; a reader that is further behind loses lines.
 constexpr size_t kMaxBufferedBytes = 512 * 1024;
@@ -55,7 +59,8 @@
     reported_ = dropped_;
   }
   while (!buf_.empty()) {
-    const ssize_t n = write(fd_, buf_.data(), buf_.size());
+    const ssize_t n = write(fd_, buf_.data(),
+                            std::min(buf_.size(), kWriteBytes));
     if (n < 0 && errno == EINTR) {
       continue;
     }
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -78,6 +78,8 @@
   int instances = 1;
   std::map<std::string, RetryBudget> retries;
   std::set<RelayTask*> waiting;
+  //! Whether shares can grow: false while the log cannot be reached.
+  std::function<bool()> shares_can_grow = [] { return true; };
   //! Called when a request is short of a share.
   std::function<void()> on_share_short = [] {};
 };
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -31,8 +31,9 @@
 constexpr Millis kShareWait{700};
 //! Part of its objective that it waits at most.
 constexpr double kShareWaitPart = 0.75;
-//! Pace at which a waiting request says that it still waits.
-constexpr Millis kSharePoll{100};
+//! Looks at the log that it waits for. The first may have begun before the
+//! request came; the second has heard of it.
+constexpr int kShareLooks = 2;
 
 //! Time to connect. A dropped opening packet is resent after seconds, so
 //! dialling again is faster than waiting.
@@ -63,10 +64,11 @@
 //! Callers honour a wait of up to a third of their time; a little less arrives.
 constexpr double kRetryAfterPart = 0.3;
 
-//! A refused caller comes back when about this much has changed.
+//! A refused caller comes back when about this much has changed. It comes to
+//! another instance, whose share may be larger.
 constexpr Millis kNoEndpointWait{400};
 constexpr Millis kNoConfigWait{500};
-constexpr Millis kNoShareWait{400};
+constexpr Millis kNoShareWait{150};
 
 //! Part of the caller's patience within which the first event must be
 //! predicted: the prediction is off by some tenths.
@@ -207,6 +209,11 @@
   const auto verdict =
       context_->shares.Reserve(now, organisation_->name, most);
   if (verdict == BudgetShares::Verdict::kShort) {
+    if (!context_->shares_can_grow() || share_looks_ >= kShareLooks ||
+        context_->shares.IsExhausted(now, organisation_->name, most)) {
+      RefuseForShare();
+      return;
+    }
     if (!waits_for_share_) {
       waits_for_share_ = true;
       context_->waiting.insert(this);
@@ -214,7 +221,7 @@
           std::min({kShareWait, Scale(route_->objective, kShareWaitPart),
                     Remaining()});
       share_timer_ =
-          context_->loop->After(wait, [this] { OnShareWaitOver(); });
+          context_->loop->After(wait, [this] { RefuseForShare(); });
       context_->on_share_short();
     }
     return;
@@ -229,11 +236,13 @@
 }
 
 void RelayTask::OnSharesChanged() {
+  ++share_looks_;
   ReserveOrWait();
 }
 
-void RelayTask::OnShareWaitOver() {
+void RelayTask::RefuseForShare() {
   context_->waiting.erase(this);
+  context_->loop->Cancel(&share_timer_);
   waits_for_share_ = false;
   const int64_t most = prompt_->most_tokens();
   if (context_->shares.IsExhausted(context_->loop->Now(), organisation_->name,
@@ -623,6 +632,7 @@
 
 void RelayTask::DeliverBuffered() {
   finished_ = true;
+  delivered_ = answer_.status / 100 == 2;
   buffered_ += cutter_.TakeRest();
   context_->loop->Cancel(&end_timer_);
   LogEnd(answer_.status, "delivered", "");
@@ -722,10 +732,12 @@
   if (reserved_ == 0) {
     return;
   }
+  // Tokens count once an answer reaches the caller; a run that brought it
+  // nothing is not charged.
   int64_t spent = 0;
-  if (may_have_run_ || (call_ != nullptr && call_->sent())) {
+  if (head_sent_ || delivered_) {
     const int64_t output =
-        service_->event_tokens > 0
+        service_->event_tokens > 0 && !raw_
             ? std::min(prompt_->max_output_tokens,
                        cutter_.count() * service_->event_tokens)
             : prompt_->max_output_tokens;
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -60,7 +60,7 @@
   bool FindOrganisation();
   bool AdmitSize();
   void ReserveOrWait();
-  void OnShareWaitOver();
+  void RefuseForShare();
 
   // Attempts.
   void Attempt();
@@ -111,6 +111,7 @@
 
   int64_t reserved_ = 0;
   bool waits_for_share_ = false;
+  int share_looks_ = 0;  //!< Looks at the log while the request waited.
 
   std::unique_ptr<EndpointCall> call_;
   std::optional<EndpointTicket> ticket_;
@@ -123,6 +124,7 @@
   AnswerHead answer_;
   std::string buffered_;
   bool head_sent_ = false;
+  bool delivered_ = false;  //!< A good answer went out in one piece.
   bool raw_ = false;  //!< The answer is not cut into events.
   EventCutter cutter_;
   Millis first_event_at_;
