Let only the newest own record raise a budget share

Cause: a record that renews a lock is not read back at once. If a lowered claim followed, reading the older record raised the share again after others had taken what was given up. Records are numbered now and only the newest can raise.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -137,8 +137,12 @@
                            ? *account->prepaid - account->others_claimed -
                                  account->base_claimed
                            : 0;
-  account->accepted =
-      std::max(account->accepted, std::min(account->logged, room));
+  // An older record may stand above what was given up since, and others may
+  // have taken that in the meantime.
+  if (claim.number == account->number) {
+    account->accepted =
+        std::max(account->accepted, std::min(account->logged, room));
+  }
   CHECK_GE(account->accepted, account->in_use())
       << "event=share_overspent organisation=" << claim.organisation;
 }
@@ -263,23 +267,24 @@
 // --- Batches ---------------------------------------------------------------
 
 BudgetClaim BudgetShares::MakeClaim(const std::string& name,
-                                    const Account& account,
+                                    Account* account,
                                     int64_t own_claimed,
                                     int64_t own_locked) const {
   BudgetClaim claim;
   claim.instance = self_.instance;
   claim.organisation = name;
   claim.incarnation = self_.incarnation;
-  claim.claimed = account.base_claimed + own_claimed;
-  claim.locked = account.base_claimed + own_locked;
-  claim.spent = account.base_spent + account.spent;
-  claim.dead = account.dead();
+  claim.number = ++account->number;
+  claim.claimed = account->base_claimed + own_claimed;
+  claim.locked = account->base_claimed + own_locked;
+  claim.spent = account->base_spent + account->spent;
+  claim.dead = account->dead();
   return claim;
 }
 
-bool BudgetShares::PlanAccount(Millis now,
-                               Account* account,
-                               BudgetClaim* claim) const {
+std::optional<BudgetClaim> BudgetShares::PlanAccount(Millis now,
+                                                     const std::string& name,
+                                                     Account* account) const {
   const int64_t in_use = account->in_use();
   const int64_t target = Target(now, *account);
   const auto held = static_cast<double>(account->accepted - in_use);
@@ -308,10 +313,9 @@
   // What is in use may exceed an old lock that has passed.
   locked = std::clamp(locked, in_use, std::max(in_use, claimed));
   if (claimed == account->logged && locked == account->locked) {
-    return false;
+    return std::nullopt;
   }
-  *claim = MakeClaim("", *account, claimed, locked);
-  return true;
+  return MakeClaim(name, account, claimed, locked);
 }
 
 ClaimBatch BudgetShares::Plan(Millis now) {
@@ -323,12 +327,13 @@
     if (now - account.needed_at > kNeedLasts) {
       account.needed = 0;
     }
-    BudgetClaim claim;
-    if (account.prepaid && PlanAccount(now, &account, &claim)) {
-      claim.organisation = name;
+    if (!account.prepaid) {
+      continue;
+    }
+    if (const auto claim = PlanAccount(now, name, &account)) {
       batch.raises = batch.raises ||
-                     claim.claimed > account.base_claimed + account.logged;
-      batch.claims.push_back(std::move(claim));
+                     claim->claimed > account.base_claimed + account.logged;
+      batch.claims.push_back(*claim);
     }
   }
   const Millis pause =
@@ -348,7 +353,7 @@
     const int64_t in_use = account.in_use();
     if (account.logged > in_use) {
       account.accepted = in_use;
-      batch.claims.push_back(MakeClaim(name, account, in_use, in_use));
+      batch.claims.push_back(MakeClaim(name, &account, in_use, in_use));
     }
   }
   if (!batch.claims.empty()) {
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -107,6 +107,7 @@
     int64_t base_claimed = 0;
     int64_t base_spent = 0;
     // Own tokens, without the base.
+    uint64_t number = 0;   //!< Of the newest own record that was planned.
     int64_t logged = 0;    //!< Own claim on the log.
     int64_t accepted = 0;  //!< What was granted, spent included.
     int64_t locked = 0;    //!< Limit of the newest lock that the log has.
@@ -132,9 +133,11 @@
   int64_t LockTarget(Millis now, const Account& account) const;
   void ApplyOwn(Account* account, const BudgetClaim& claim);
   void CountPredecessor(Account* account);
-  bool PlanAccount(Millis now, Account* account, BudgetClaim* claim) const;
+  std::optional<BudgetClaim> PlanAccount(Millis now,
+                                         const std::string& name,
+                                         Account* account) const;
   BudgetClaim MakeClaim(const std::string& name,
-                        const Account& account,
+                        Account* account,
                         int64_t own_claimed,
                         int64_t own_locked) const;
   void Launch(Millis now, ClaimBatch* batch);
--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -20,7 +20,7 @@
 std::string EncodeBudgetClaim(const BudgetClaim& claim) {
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
-  archive(claim.incarnation, claim.claimed, claim.locked, claim.spent,
+  archive(claim.incarnation, claim.number, claim.claimed, claim.locked, claim.spent,
           claim.dead);
   return out.str();
 }
@@ -37,7 +37,7 @@
   try {
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
-    archive(claim.incarnation, claim.claimed, claim.locked, claim.spent,
+    archive(claim.incarnation, claim.number, claim.claimed, claim.locked, claim.spent,
             claim.dead);
   } catch (const std::exception&) {
     return std::nullopt;
--- a/src/state/budget_claim.h
+++ b/src/state/budget_claim.h
@@ -14,6 +14,7 @@
   std::string instance;
   std::string organisation;
   uint64_t incarnation = 0;
+  uint64_t number = 0;  //!< Counts this incarnation's records of the key.
   int64_t claimed = 0;  //!< Tokens that were spent or may be.
   //! Of these, what may be spent until the lock of the instance's newest beat
   //! has passed.
--- /dev/null
+++ b/tests/coordination/budget_shares_test.cpp
@@ -0,0 +1,360 @@
+#include "coordination/budget_shares.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "coordination/claim_batch.h"
+#include "state/budget_beat.h"
+#include "state/budget_claim.h"
+#include "state/organisation.h"
+
+namespace tamaracktrail {
+namespace {
+
+constexpr char kName[] = "cedar";
+
+std::vector<Organisation> Prepaid(int64_t tokens) {
+  Organisation organisation;
+  organisation.name = kName;
+  organisation.prepaid = tokens;
+  return {organisation};
+}
+
+//! The log's partition: records in order.
+class FakeTopic {
+ public:
+  using Record = std::variant<BudgetBeat, BudgetClaim>;
+
+  void Append(const ClaimBatch& batch) {
+    if (batch.beat) {
+      records_.emplace_back(*batch.beat);
+    }
+    for (const BudgetClaim& it : batch.claims) {
+      records_.emplace_back(it);
+    }
+  }
+  size_t end() const { return records_.size(); }
+  const Record& at(size_t i) const { return records_[i]; }
+
+ private:
+  std::vector<Record> records_;
+};
+
+//! One instance with its place in the topic.
+class Holder {
+ public:
+  Holder(FakeTopic* topic,
+         const std::string& name,
+         uint64_t incarnation,
+         Millis now,
+         const std::string& boot)
+      : topic_(topic), shares_({name, incarnation, boot}) {
+    shares_.SetAlone(now);
+    Read(now);
+  }
+
+  void Read(Millis now) {
+    for (; at_ < topic_->end(); ++at_) {
+      std::visit([&](const auto& it) { shares_.Apply(it); }, topic_->at(at_));
+    }
+    shares_.OnSynced(now);
+  }
+
+  //! Plans and keeps the batch; `Land` appends it.
+  bool Plan(Millis now) {
+    batch_ = shares_.Plan(now);
+    return !batch_.empty();
+  }
+  void Land() {
+    topic_->Append(batch_);
+    batch_ = {};
+    shares_.OnAppended();
+  }
+  //! The append happens, but its answer does not arrive.
+  void LandUnheard() { topic_->Append(batch_); }
+
+  void Draw(Millis now) {
+    if (Plan(now)) {
+      Land();
+    }
+    Read(now);
+  }
+
+  bool has_batch() const { return !batch_.empty(); }
+  const ClaimBatch& batch() const { return batch_; }
+  BudgetShares& shares() { return shares_; }
+
+ private:
+  FakeTopic* topic_;
+  BudgetShares shares_;
+  size_t at_ = 0;
+  ClaimBatch batch_;
+};
+
+TEST(BudgetSharesTest, GrantsAfterTheLogHasTheClaim) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  EXPECT_EQ(holder.shares().Reserve(Millis(1000), kName, 5000),
+            BudgetShares::Verdict::kShort);
+  holder.Draw(Millis(1010));
+  EXPECT_EQ(holder.shares().Reserve(Millis(1020), kName, 5000),
+            BudgetShares::Verdict::kGranted);
+  EXPECT_TRUE(holder.shares().Claimed(kName) >= 5000);
+}
+
+TEST(BudgetSharesTest, DoesNotLimitOrganisationsWithoutBudget) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  EXPECT_EQ(holder.shares().Reserve(Millis(1000), "unknown", 5000),
+            BudgetShares::Verdict::kUnlimited);
+}
+
+TEST(BudgetSharesTest, LogOrderDecidesBetweenTwoWhoWantTheLastTokens) {
+  FakeTopic topic;
+  Holder a(&topic, "a", 1, Millis(1000), "boot");
+  Holder b(&topic, "b", 2, Millis(1000), "boot");
+  for (Holder* it : {&a, &b}) {
+    it->shares().SetBudgets(Prepaid(1000));
+    it->shares().SetInstances(2);
+    it->shares().Reserve(Millis(1000), kName, 800);
+    ASSERT_TRUE(it->Plan(Millis(1001)));
+  }
+  b.Land();
+  a.Land();
+  a.Read(Millis(1010));
+  b.Read(Millis(1010));
+  EXPECT_EQ(b.shares().Reserve(Millis(1010), kName, 800),
+            BudgetShares::Verdict::kGranted);
+  EXPECT_EQ(a.shares().Reserve(Millis(1010), kName, 800),
+            BudgetShares::Verdict::kShort);
+}
+
+// A claim that only renews a lock is not read back at once. When a lowered one
+// follows, the older record must not raise the share again. (Found by a hunted
+// day, quiet-1 with seed 80884280170, and by seed 154 of the random runs.)
+TEST(BudgetSharesTest, OlderOwnRecordDoesNotUndoALoweredClaim) {
+  constexpr int64_t kTotal = 100000;
+  FakeTopic topic;
+  Holder a(&topic, "a", 1, Millis(1000), "boot");
+  Holder b(&topic, "b", 2, Millis(1000), "boot");
+  for (Holder* it : {&a, &b}) {
+    it->shares().SetBudgets(Prepaid(kTotal));
+    it->shares().SetInstances(2);
+  }
+  a.shares().Reserve(Millis(1000), kName, 80000);
+  a.Draw(Millis(1001));
+  ASSERT_EQ(a.shares().Reserve(Millis(1002), kName, 60000),
+            BudgetShares::Verdict::kGranted);
+  ASSERT_TRUE(a.Plan(Millis(1003)));
+  a.Land();
+  a.shares().Settle(kName, 60000, 0);
+  ASSERT_TRUE(a.Plan(Millis(61000)));
+  a.Land();
+  b.Read(Millis(61001));
+  b.shares().Reserve(Millis(61001), kName, 90000);
+  b.Draw(Millis(61002));
+  a.Read(Millis(61003));
+  EXPECT_LE(a.shares().Available(Millis(190000), kName) +
+                b.shares().Available(Millis(190000), kName),
+            kTotal);
+}
+
+TEST(BudgetSharesTest, SuccessorCountsOnlyTheLockedPartWithinTheLockTime) {
+  FakeTopic topic;
+  Holder first(&topic, "a", 1, Millis(1000), "boot");
+  first.shares().SetBudgets(Prepaid(1000000));
+  first.shares().Reserve(Millis(1000), kName, 10000);
+  first.Draw(Millis(1001));
+  ASSERT_EQ(first.shares().Reserve(Millis(1002), kName, 10000),
+            BudgetShares::Verdict::kGranted);
+  first.Draw(Millis(1500));
+  const int64_t claimed = first.shares().Claimed(kName);
+  Holder soon(&topic, "a", 2, Millis(2500), "boot");
+  Holder late(&topic, "a", 3, Millis(9000), "boot");
+  Holder elsewhere(&topic, "a", 4, Millis(2500), "another boot");
+  EXPECT_LT(soon.shares().Claimed(kName), claimed);
+  EXPECT_EQ(late.shares().Claimed(kName), claimed);
+  EXPECT_EQ(elsewhere.shares().Claimed(kName), claimed);
+}
+
+TEST(BudgetSharesTest, ALoweredTotalTakesBackWhatIsNotSpent) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  holder.shares().Reserve(Millis(1000), kName, 10000);
+  holder.Draw(Millis(1001));
+  holder.shares().SetBudgets(Prepaid(500));
+  EXPECT_EQ(holder.shares().Available(Millis(1002), kName), 0);
+  EXPECT_EQ(holder.shares().Reserve(Millis(1002), kName, 501),
+            BudgetShares::Verdict::kShort);
+  holder.Draw(Millis(1003));
+  EXPECT_EQ(holder.shares().Reserve(Millis(1004), kName, 501),
+            BudgetShares::Verdict::kShort);
+  EXPECT_TRUE(holder.shares().IsExhausted(Millis(1004), kName, 501));
+}
+
+TEST(BudgetSharesTest, ReturnGivesBackAllThatIsNotInUse) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  holder.shares().Reserve(Millis(1000), kName, 10000);
+  holder.Draw(Millis(1001));
+  holder.shares().Reserve(Millis(1002), kName, 4000);
+  holder.shares().Settle(kName, 4000, 3000);
+  topic.Append(holder.shares().PlanReturn(Millis(1003)));
+  Holder other(&topic, "b", 2, Millis(1004), "boot");
+  EXPECT_EQ(other.shares().Claimed(kName), 3000);
+}
+
+//! Random instances, delays, crashes and changes of the total. What was spent
+//! is kept outside and must stay within the total in force when it was granted.
+class RandomRun {
+ public:
+  explicit RandomRun(uint64_t seed) : random_(seed) {}
+
+  void Run() {
+    for (int i = 0; i < kHolders; ++i) {
+      StartHolder(i);
+    }
+    for (int step = 0; step < kSteps; ++step) {
+      now_ = now_ + Millis(static_cast<int64_t>(Draw(120)));
+      Step(static_cast<int>(Draw(kHolders)));
+      ASSERT_LE(spent_, highest_) << "step " << step;
+    }
+  }
+
+ private:
+  static constexpr int kHolders = 4;
+  static constexpr int kSteps = 3000;
+  static constexpr int64_t kTokens = 60000;
+
+  struct Open {
+    int holder;
+    uint64_t incarnation;
+    int64_t reserved;
+  };
+
+  uint64_t Draw(uint64_t n) { return random_() % n; }
+
+  void StartHolder(int i) {
+    incarnation_[i] = ++incarnations_;
+    holder_[i] = std::make_unique<Holder>(
+        &topic_, std::string(1, static_cast<char>('a' + i)), incarnation_[i],
+        now_, "boot");
+    holder_[i]->shares().SetBudgets(Prepaid(total_));
+    holder_[i]->shares().SetInstances(kHolders);
+    cut_[i] = false;
+  }
+
+  void Step(int i) {
+    Holder& holder = *holder_[i];
+    switch (Draw(12)) {
+      case 0:
+        if (!cut_[i] && !holder.has_batch()) {
+          holder.Plan(now_);
+        }
+        break;
+      case 1:
+      case 2:
+        if (!cut_[i] && holder.has_batch()) {
+          holder.Land();
+        }
+        break;
+      case 3:
+        if (!cut_[i]) {
+          holder.Read(now_);
+        }
+        break;
+      case 4:
+        if (Draw(40) == 0) {
+          Crash(i);
+        }
+        break;
+      case 5:
+        if (Draw(20) == 0) {
+          cut_[i] = !cut_[i];
+        }
+        break;
+      case 6:
+        if (Draw(100) == 0) {
+          total_ += static_cast<int64_t>(Draw(kTokens / 4));
+          highest_ = std::max(highest_, total_);
+          for (auto& it : holder_) {
+            it->shares().SetBudgets(Prepaid(total_));
+          }
+        }
+        break;
+      case 7:
+        EndOne();
+        break;
+      default:
+        Request(i);
+        break;
+    }
+  }
+
+  void Request(int i) {
+    const auto tokens = static_cast<int64_t>(50 + Draw(900));
+    if (holder_[i]->shares().Reserve(now_, kName, tokens) ==
+        BudgetShares::Verdict::kGranted) {
+      // The dearest case: all of it is spent at once.
+      spent_ += tokens;
+      open_.push_back({i, incarnation_[i], tokens});
+    }
+  }
+
+  void EndOne() {
+    if (open_.empty()) {
+      return;
+    }
+    const Open it = open_.back();
+    open_.pop_back();
+    if (incarnation_[it.holder] == it.incarnation) {
+      holder_[it.holder]->shares().Settle(kName, it.reserved, it.reserved);
+    }
+  }
+
+  void Crash(int i) {
+    // An append that was on its way may still have happened.
+    if (holder_[i]->has_batch() && Draw(2) == 0) {
+      holder_[i]->LandUnheard();
+    }
+    now_ = now_ + Millis(static_cast<int64_t>(Draw(2000)));
+    StartHolder(i);
+  }
+
+  std::mt19937_64 random_;
+  FakeTopic topic_;
+  Millis now_{5000};
+  int64_t total_ = kTokens;
+  int64_t highest_ = kTokens;
+  int64_t spent_ = 0;
+  uint64_t incarnations_ = 0;
+  std::unique_ptr<Holder> holder_[kHolders];
+  uint64_t incarnation_[kHolders] = {};
+  bool cut_[kHolders] = {};
+  std::vector<Open> open_;
+};
+
+TEST(BudgetSharesTest, RandomRunsNeverOverspend) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    SCOPED_TRACE(seed);
+    RandomRun run(seed);
+    run.Run();
+    if (testing::Test::HasFatalFailure()) {
+      return;
+    }
+  }
+}
+
+}  // namespace
+}  // namespace tamaracktrail
