--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -137,6 +137,13 @@
     Fail(401, "Unauthorized", "unknown_key");
     return false;
   }
+  const Millis last = route_->kind == CallKind::kStream
+                          ? context_->last_stream_at
+                          : context_->last_call_at;
+  if (last > Millis(0) && context_->loop->Now() > last) {
+    Refuse("draining", kLeastRetryAfter);
+    return false;
+  }
   Millis allowed = route_->timeout;
   int64_t deadline = 0;
   const auto text = request_.fields.Find(dialect.deadline);
