--- a/src/coordination/endpoint_board.cpp
+++ b/src/coordination/endpoint_board.cpp
@@ -147,6 +147,11 @@
                                                                  : nullptr;
 }
 
+const EndpointState* EndpointBoard::FindByHash(uint64_t hash) const {
+  const auto it = by_hash_.find(hash);
+  return it == by_hash_.end() ? nullptr : &endpoints_.at(it->second);
+}
+
 EndpointState* EndpointBoard::Lookup(const std::string& id, int64_t born) {
   const auto it = endpoints_.find(id);
   return it != endpoints_.end() && it->second.entry.born == born ? &it->second
--- a/src/coordination/endpoint_board.h
+++ b/src/coordination/endpoint_board.h
@@ -55,6 +55,9 @@
   //! nullptr once the incarnation is no longer known.
   const EndpointState* Find(const std::string& id, int64_t born) const;
 
+  //! nullptr for an unknown hash.
+  const EndpointState* FindByHash(uint64_t hash) const;
+
   //! Whether the incarnation may get new work at this moment.
   bool MayReceive(Millis now, const std::string& id, int64_t born) const;
 
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -37,6 +37,13 @@
 //! is lost from there.
 constexpr double kRereadMsPerK = 40;
 
+//! The same where the engine fetches the part from another one's memory.
+constexpr double kFetchMsPerK = 4;
+//! Time to begin a fetch, ms.
+constexpr double kFetchMs = 5;
+//! Fewer tokens are read again faster than they are fetched.
+constexpr int64_t kLeastFetch = 400;
+
 //! Leaving the data centre costs bytes on its links and fails when it is cut.
 constexpr double kOtherDataCentreMs = 4;
 
@@ -82,6 +89,7 @@
   double cost_ms = 0;       //!< All that counts in the choice.
   double predicted_ms = 0;  //!< To the first event.
   int64_t unread = 0;       //!< Prompt tokens to read.
+  const EndpointState* fetch_from = nullptr;
 };
 
 Placement::Placement(const EndpointBoard* board,
@@ -89,6 +97,37 @@
                      std::string data_centre)
     : board_(board), memory_(memory), data_centre_(std::move(data_centre)) {}
 
+bool Placement::Holds(Millis now,
+                      uint64_t beginning,
+                      const EndpointState& state) const {
+  const auto* holders = memory_->Find(beginning);
+  return holders != nullptr &&
+         std::any_of(holders->begin(), holders->end(),
+                     [&](const PrefixMemory::Holder& it) {
+                       return it.endpoint == state.hash &&
+                              now - it.used < kCacheLasts;
+                     });
+}
+
+const EndpointState* Placement::FindHolder(Millis now,
+                                           uint64_t beginning,
+                                           const EndpointState* home) const {
+  const auto* holders = memory_->Find(beginning);
+  const EndpointState* found = nullptr;
+  Millis latest;
+  if (holders != nullptr) {
+    for (const PrefixMemory::Holder& it : *holders) {
+      const EndpointState* state = board_->FindByHash(it.endpoint);
+      if (state != nullptr && now - it.used < kCacheLasts &&
+          it.used > latest && now >= state->suspended_until) {
+        found = state;
+        latest = it.used;
+      }
+    }
+  }
+  return found != nullptr ? found : home;
+}
+
 Placement::Estimate Placement::EstimateEngine(
     Millis now,
     const Request& request,
@@ -97,36 +136,38 @@
   const PromptShape& prompt = *request.prompt;
   int64_t cached = 0;
   int64_t shared = 0;
-  for (size_t i = 0; i < prompt.parts.size(); ++i) {
-    const bool last = i + 1 == prompt.parts.size();
-    if (!last) {
-      shared += prompt.parts[i].tokens;
-    }
-    bool held = &state == home && !last;
-    if (const auto* holders = memory_->Find((*request.chain)[i])) {
-      held = held || std::any_of(holders->begin(), holders->end(),
-                                 [&](const PrefixMemory::Holder& it) {
-                                   return it.endpoint == state.hash &&
-                                          now - it.used < kCacheLasts;
-                                 });
-    }
-    if (!held) {
-      break;
-    }
-    cached += prompt.parts[i].tokens;
+  bool holds_all = true;
+  for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    shared += prompt.parts[i].tokens;
+    holds_all = holds_all && (&state == home ||
+                              Holds(now, (*request.chain)[i], state));
+    cached += holds_all ? prompt.parts[i].tokens : 0;
   }
   Estimate estimate;
-  estimate.unread = std::max<int64_t>(0, prompt.prompt_tokens - cached);
+  double fetch_ms = 0;
+  const int64_t missing = shared - cached;
+  if (missing >= kLeastFetch && request.service->link_mbps > 0) {
+    const uint64_t beginning = (*request.chain)[prompt.parts.size() - 2];
+    const EndpointState* holder = FindHolder(now, beginning, home);
+    if (holder != nullptr && holder != &state) {
+      estimate.fetch_from = holder;
+      const double bits = static_cast<double>(missing) * 8 *
+                          static_cast<double>(request.service->token_bytes);
+      fetch_ms = kFetchMs + bits / (request.service->link_mbps * 1000);
+    }
+  }
+  const bool fetches = estimate.fetch_from != nullptr;
+  estimate.unread = std::max<int64_t>(
+      0, prompt.prompt_tokens - (fetches ? shared : cached));
   const double slow = state.slowness * (1 + kStepLoad * state.open());
   const double ahead =
       static_cast<double>(std::max<int64_t>(0, state.prompt_tokens())) /
       kTokensPerMs;
   estimate.predicted_ms =
-      (kFirstEventMs + ahead + ReadMs(estimate.unread)) * slow;
-  const int64_t reread = std::max<int64_t>(0, shared - cached);
+      (kFirstEventMs + ahead + ReadMs(estimate.unread)) * slow + fetch_ms;
   estimate.cost_ms =
-      estimate.predicted_ms +
-      kRereadMsPerK * static_cast<double>(reread) / 1000;
+      estimate.predicted_ms + (fetches ? kFetchMsPerK : kRereadMsPerK) *
+                                  static_cast<double>(missing) / 1000;
   if (estimate.unread > kLongPrompt) {
     estimate.cost_ms += kPauseMs * state.open();
   }
@@ -193,6 +234,9 @@
   choice.address = chosen->entry.address;
   choice.predicted = Millis(static_cast<int64_t>(chosen_estimate.predicted_ms));
   choice.prompt_tokens = chosen_estimate.unread;
+  if (chosen_estimate.fetch_from != nullptr) {
+    choice.fetch_from = chosen_estimate.fetch_from->entry.address;
+  }
   return choice;
 }
 
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -58,6 +58,12 @@
  private:
   struct Estimate;
 
+  //! Whether an engine read the beginning of late.
+  bool Holds(Millis now, uint64_t beginning, const EndpointState& state) const;
+  //! An engine that is likely to hold the beginning; `home` where none is known.
+  const EndpointState* FindHolder(Millis now,
+                                  uint64_t beginning,
+                                  const EndpointState* home) const;
   Estimate EstimateEngine(Millis now,
                           const Request& request,
                           const EndpointState& state,
