--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -10,18 +10,14 @@
 
 namespace {
 
-//! A share covers this much demand while the budget is rich: instances are cut
-//! off from the platform for up to about 9 s at a time.
-constexpr double kLongestCoverSeconds = 9.5;
-//! Near the end of the budget what a power loss would strand weighs more.
-constexpr double kShortestCoverSeconds = 2.5;
-//! Parts of the budget that are left where the one ends and the other begins.
-constexpr double kRichPart = 0.45;
-constexpr double kPoorPart = 0.15;
-
-//! Part of its fair share of what is left that an instance holds at most; the
-//! rest goes to whoever needs it first.
-constexpr double kFairPart = 0.9;
+//! A share covers this much demand: instances are cut off from the platform for
+//! up to about 9 s at a time.
+constexpr double kCoverSeconds = 9.5;
+
+//! Part of its fair share of what is left that an instance holds at most. A
+//! power loss of all instances strands what they hold, and an organisation near
+//! its end must not lose all of the rest by it.
+constexpr double kFairPart = 0.25;
 
 //! Part of what is left that all instances together hold without demand, so
 //! that the first requests of an organisation need not wait for the log.
@@ -33,8 +29,8 @@
 
 //! A share is filled up below this part of its target, and given back above
 //! this multiple; the gap between them bounds the appends.
-constexpr double kRefillBelow = 0.8;
-constexpr double kGiveBackAbove = 2;
+constexpr double kRefillBelow = 0.85;
+constexpr double kGiveBackAbove = 1.25;
 //! The same while the claims exceed the budget.
 constexpr double kGiveBackWhenShort = 1.1;
 
@@ -242,13 +238,7 @@
   const double even = kEvenPart * prepaid / instances_;
   const double fair =
       left * (own + even) / (all + even * static_cast<double>(instances_));
-  const double wealth = std::clamp(
-      (left / std::max(1.0, prepaid) - kPoorPart) / (kRichPart - kPoorPart),
-      0.0, 1.0);
-  const double cover =
-      kShortestCoverSeconds +
-      wealth * (kLongestCoverSeconds - kShortestCoverSeconds);
-  double wanted = DemandRate(now, account) * cover;
+  double wanted = DemandRate(now, account) * kCoverSeconds;
   wanted = std::max(wanted, left * kIdlePart / instances_);
   wanted = std::min(wanted, fair * kFairPart);
   if (wanted < account.usual) {
