Hold at most half of the fair share of what is left

Ruled out: proving a predecessor's end after a power loss by the time of day, which may jump by more than the proof could bear.

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -44,14 +44,12 @@
   settings.peers_address = Address(&ini, "listen", "peers");
   settings.metrics_address = Address(&ini, "listen", "metrics");
   settings.store_address = Address(&ini, "store", "address");
-  settings.file_descriptors = static_cast<int>(
-      ini.Integer("limits", "file_descriptors", 1024, kLeastDescriptors,
-                  kMostDescriptors));
+  settings.file_descriptors = static_cast<int>(ini.Integer(
+      "limits", "file_descriptors", 1024, kLeastDescriptors, kMostDescriptors));
   settings.grace = Millis(ini.Integer("limits", "grace_ms", kDefaultGraceMs,
                                       kLeastGraceMs, kMostGraceMs));
   settings.retry_ratio = ini.Number("retries", "ratio", 0.2, 0, 1);
-  settings.retry_extra =
-      ini.Number("retries", "extra", 0, 0, kMostRetryExtra);
+  settings.retry_extra = ini.Number("retries", "extra", 0, 0, kMostRetryExtra);
   ini.CheckNoOthers();
   return settings;
 }
--- a/src/cli/run.cpp
+++ b/src/cli/run.cpp
@@ -13,9 +13,7 @@
 
 namespace {
 
-int Usage(std::ostream& out,
-          std::span<const Command> commands,
-          ExitCode code) {
+int Usage(std::ostream& out, std::span<const Command> commands, ExitCode code) {
   out << "usage: tamaracktrail COMMAND ...\n";
   for (const Command& it : commands) {
     out << "  " << it.synopsis << "\n";
--- a/src/coordination/attempt_rules.cpp
+++ b/src/coordination/attempt_rules.cpp
@@ -36,8 +36,7 @@
   // An attempt that reached nobody adds no arrival anywhere.
   const bool free = progress.sends == 0;
   return progress.endpoint_left && progress.remaining >= kLeastTime &&
-         progress.dials < kMaxDials &&
-         progress.sends < progress.max_attempts &&
+         progress.dials < kMaxDials && progress.sends < progress.max_attempts &&
          (free || progress.retry_allowed);
 }
 
@@ -54,8 +53,7 @@
   }
   if (progress.head_sent) {
     const bool resumes = progress.kind == CallKind::kStream &&
-                         progress.resumable &&
-                         MaySendAgain(progress, outcome);
+                         progress.resumable && MaySendAgain(progress, outcome);
     return resumes ? NextStep::kResume : NextStep::kBreakOff;
   }
   if (MaySendAgain(progress, outcome)) {
--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -17,7 +17,7 @@
 //! Part of its fair share of what is left that an instance holds at most. A
 //! power loss of all instances strands what they hold, and an organisation near
 //! its end must not lose all of the rest by it.
-constexpr double kFairPart = 0.25;
+constexpr double kFairPart = 0.5;
 
 //! Part of what is left that all instances together hold without demand, so
 //! that the first requests of an organisation need not wait for the log.
@@ -129,10 +129,10 @@
     return;
   }
   account->logged = claim.claimed - account->base_claimed;
-  const int64_t room = account->prepaid
-                           ? *account->prepaid - account->others_claimed -
-                                 account->base_claimed
-                           : 0;
+  const int64_t room =
+      account->prepaid
+          ? *account->prepaid - account->others_claimed - account->base_claimed
+          : 0;
   // An older record may stand above what was given up since, and others may
   // have taken that in the meantime.
   if (claim.number == account->number) {
@@ -184,8 +184,8 @@
     account.first_demand = now;
   }
   const auto size = static_cast<double>(tokens);
-  account.usual += (account.usual == 0 ? 1 : kUsualWeight) *
-                   (size - account.usual);
+  account.usual +=
+      (account.usual == 0 ? 1 : kUsualWeight) * (size - account.usual);
   account.demand.Add(now, tokens);
   account.reserved += tokens;
   return Verdict::kGranted;
@@ -353,8 +353,7 @@
 }
 
 void BudgetShares::Launch(Millis now, ClaimBatch* batch) {
-  batch->beat =
-      BudgetBeat{self_.instance, self_.incarnation, self_.boot, now};
+  batch->beat = BudgetBeat{self_.instance, self_.incarnation, self_.boot, now};
   next_beat_at_ = now;
   in_flight_ = true;
   for (const BudgetClaim& it : batch->claims) {
--- a/src/coordination/endpoint_board.cpp
+++ b/src/coordination/endpoint_board.cpp
@@ -200,13 +200,13 @@
   RemoveDue(*ticket, state);
   const auto waited = static_cast<double>(
       std::max<int64_t>(1, (now - ticket->sent_at).count()));
-  const auto predicted = static_cast<double>(
-      std::max<int64_t>(1, ticket->predicted.count()));
-  const double ratio = std::min(waited * state->slowness / predicted,
-                                kMaxSlowness);
-  state->slowness = std::clamp(
-      state->slowness + kSlownessWeight * (ratio - state->slowness),
-      kMinSlowness, kMaxSlowness);
+  const auto predicted =
+      static_cast<double>(std::max<int64_t>(1, ticket->predicted.count()));
+  const double ratio =
+      std::min(waited * state->slowness / predicted, kMaxSlowness);
+  state->slowness =
+      std::clamp(state->slowness + kSlownessWeight * (ratio - state->slowness),
+                 kMinSlowness, kMaxSlowness);
 }
 
 void EndpointBoard::OnEnded(Millis now,
@@ -225,10 +225,9 @@
                     (bad ? kFailureWeight : 0);
   state->failures_at = now;
   state->lost_in_row = lost ? state->lost_in_row + 1 : 0;
-  const bool suspend =
-      outcome == EndpointOutcome::kGone ||
-      outcome == EndpointOutcome::kUnreachable ||
-      (lost && state->lost_in_row >= kLostToSuspend);
+  const bool suspend = outcome == EndpointOutcome::kGone ||
+                       outcome == EndpointOutcome::kUnreachable ||
+                       (lost && state->lost_in_row >= kLostToSuspend);
   if (suspend) {
     const int doublings = std::min(3, state->lost_in_row);
     state->suspended_until =
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -76,9 +76,9 @@
 double HealthMs(Millis now, const EndpointState& state) {
   double ms = FailuresNow(now, state) * kFailureMs;
   if (!state.due.empty()) {
-    ms += kSilenceFactor * static_cast<double>(std::max<int64_t>(
-                               0, now.count() - *state.due.begin() -
-                                      kToleratedDelay.count()));
+    ms += kSilenceFactor *
+          static_cast<double>(std::max<int64_t>(
+              0, now.count() - *state.due.begin() - kToleratedDelay.count()));
   }
   return ms;
 }
@@ -101,12 +101,11 @@
                       uint64_t beginning,
                       const EndpointState& state) const {
   const auto* holders = memory_->Find(beginning);
-  return holders != nullptr &&
-         std::any_of(holders->begin(), holders->end(),
-                     [&](const PrefixMemory::Holder& it) {
-                       return it.endpoint == state.hash &&
-                              now - it.used < kCacheLasts;
-                     });
+  return holders != nullptr && std::any_of(holders->begin(), holders->end(),
+                                           [&](const PrefixMemory::Holder& it) {
+                                             return it.endpoint == state.hash &&
+                                                    now - it.used < kCacheLasts;
+                                           });
 }
 
 const EndpointState* Placement::FindHolder(Millis now,
@@ -118,8 +117,8 @@
   if (holders != nullptr) {
     for (const PrefixMemory::Holder& it : *holders) {
       const EndpointState* state = board_->FindByHash(it.endpoint);
-      if (state != nullptr && now - it.used < kCacheLasts &&
-          it.used > latest && now >= state->suspended_until) {
+      if (state != nullptr && now - it.used < kCacheLasts && it.used > latest &&
+          now >= state->suspended_until) {
         found = state;
         latest = it.used;
       }
@@ -128,19 +127,18 @@
   return found != nullptr ? found : home;
 }
 
-Placement::Estimate Placement::EstimateEngine(
-    Millis now,
-    const Request& request,
-    const EndpointState& state,
-    const EndpointState* home) const {
+Placement::Estimate Placement::EstimateEngine(Millis now,
+                                              const Request& request,
+                                              const EndpointState& state,
+                                              const EndpointState* home) const {
   const PromptShape& prompt = *request.prompt;
   int64_t cached = 0;
   int64_t shared = 0;
   bool holds_all = true;
   for (size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
     shared += prompt.parts[i].tokens;
-    holds_all = holds_all && (&state == home ||
-                              Holds(now, (*request.chain)[i], state));
+    holds_all =
+        holds_all && (&state == home || Holds(now, (*request.chain)[i], state));
     cached += holds_all ? prompt.parts[i].tokens : 0;
   }
   Estimate estimate;
@@ -157,8 +155,8 @@
     }
   }
   const bool fetches = estimate.fetch_from != nullptr;
-  estimate.unread = std::max<int64_t>(
-      0, prompt.prompt_tokens - (fetches ? shared : cached));
+  estimate.unread =
+      std::max<int64_t>(0, prompt.prompt_tokens - (fetches ? shared : cached));
   const double slow = state.slowness * (1 + kStepLoad * state.open());
   const double ahead =
       static_cast<double>(std::max<int64_t>(0, state.prompt_tokens())) /
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -60,7 +60,8 @@
 
   //! Whether an engine read the beginning of late.
   bool Holds(Millis now, uint64_t beginning, const EndpointState& state) const;
-  //! An engine that is likely to hold the beginning; `home` where none is known.
+  //! An engine that is likely to hold the beginning; `home` where none is
+  //! known.
   const EndpointState* FindHolder(Millis now,
                                   uint64_t beginning,
                                   const EndpointState* home) const;
--- a/src/coordination/prefix_memory.cpp
+++ b/src/coordination/prefix_memory.cpp
@@ -38,10 +38,9 @@
         holders.begin(), holders.end(),
         [&](const Holder& holder) { return holder.endpoint == endpoint; });
     if (slot == holders.end()) {
-      slot = std::min_element(holders.begin(), holders.end(),
-                              [](const Holder& a, const Holder& b) {
-                                return a.used < b.used;
-                              });
+      slot = std::min_element(
+          holders.begin(), holders.end(),
+          [](const Holder& a, const Holder& b) { return a.used < b.used; });
     }
     *slot = {endpoint, now};
   }
--- a/src/protocol/call_dialect.h
+++ b/src/protocol/call_dialect.h
@@ -15,8 +15,8 @@
 //! generation request describes its prompt. Filled in where the surroundings
 //! are known; the relay itself knows no names. Immutable.
 struct CallDialect {
-  std::string request_id;   //!< One attempt of a caller.
-  std::string deadline;     //!< How long the sender waits, milliseconds.
+  std::string request_id;         //!< One attempt of a caller.
+  std::string deadline;           //!< How long the sender waits, milliseconds.
   std::string expected_endpoint;  //!< Only this endpoint may run the request.
   std::string organisation;       //!< Whose key the caller holds.
   std::string priority;           //!< 0 to 9, 0 first.
--- a/src/protocol/event_cutter.cpp
+++ b/src/protocol/event_cutter.cpp
@@ -15,7 +15,8 @@
 size_t EventEnd(std::string_view text) {
   const size_t lf = text.find("\n\n");
   const size_t crlf = text.find("\r\n\r\n");
-  if (crlf != std::string_view::npos && (lf == std::string_view::npos || crlf < lf)) {
+  if (crlf != std::string_view::npos &&
+      (lf == std::string_view::npos || crlf < lf)) {
     return crlf + 4;
   }
   return lf == std::string_view::npos ? lf : lf + 2;
--- a/src/protocol/http_fields.cpp
+++ b/src/protocol/http_fields.cpp
@@ -21,17 +21,16 @@
 }
 
 size_t HttpFields::Count(std::string_view name) const {
-  return static_cast<size_t>(
-      std::count_if(fields_.begin(), fields_.end(), [&](const HttpField& it) {
-        return EqualsIgnoringCase(it.name, name);
-      }));
+  return static_cast<size_t>(std::count_if(
+      fields_.begin(), fields_.end(),
+      [&](const HttpField& it) { return EqualsIgnoringCase(it.name, name); }));
 }
 
 bool IsHopByHopField(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
-      "Connection", "Keep-Alive",       "Proxy-Connection",
+      "Connection", "Keep-Alive",          "Proxy-Connection",
       "TE",         "Proxy-Authorization", "Proxy-Authenticate",
-      "Trailer",    "Transfer-Encoding", "Upgrade"};
+      "Trailer",    "Transfer-Encoding",   "Upgrade"};
   return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view it) {
     return EqualsIgnoringCase(it, name);
   });
--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -69,10 +69,10 @@
     size_t consumed = 0;
     while (consumed < buf->size() && !this->is_done()) {
       error_code ec;
-      const size_t n = this->put(
-          boost::asio::const_buffer(buf->data() + consumed,
-                                    buf->size() - consumed),
-          ec);
+      const size_t n =
+          this->put(boost::asio::const_buffer(buf->data() + consumed,
+                                              buf->size() - consumed),
+                    ec);
       consumed += n;
       started = started || n > 0 || ec == http::error::need_more;
       if (ec == http::error::need_more) {
@@ -109,9 +109,8 @@
  private:
   static absl::Status Describe(const error_code& ec) {
     const std::string text = absl::StrCat("HTTP: ", ec.message());
-    return ec == http::error::header_limit
-               ? absl::ResourceExhaustedError(text)
-               : absl::InvalidArgumentError(text);
+    return ec == http::error::header_limit ? absl::ResourceExhaustedError(text)
+                                           : absl::InvalidArgumentError(text);
   }
 
   void on_request_impl(http::verb,
--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -3,7 +3,6 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
-
 namespace tamaracktrail {
 
 namespace {
@@ -20,8 +19,8 @@
 std::string EncodeBudgetClaim(const BudgetClaim& claim) {
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
-  archive(claim.incarnation, claim.number, claim.claimed, claim.locked, claim.spent,
-          claim.dead);
+  archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
+          claim.spent, claim.dead);
   return out.str();
 }
 
@@ -37,8 +36,8 @@
   try {
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
-    archive(claim.incarnation, claim.number, claim.claimed, claim.locked, claim.spent,
-            claim.dead);
+    archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
+            claim.spent, claim.dead);
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/state/route.h
+++ b/src/state/route.h
@@ -30,7 +30,7 @@
   Millis timeout;          //!< Longest time until the answer is complete.
   Millis objective;        //!< To the answer, of streams to the first event.
   Millis gap_objective;    //!< Longest pause between two events of a stream.
-  Millis patience;  //!< Without an event for longer, callers leave.
+  Millis patience;         //!< Without an event for longer, callers leave.
   std::vector<Part> split;
 
   //! Whether a second run does no harm.
--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -59,8 +59,8 @@
     reported_ = dropped_;
   }
   while (!buf_.empty()) {
-    const ssize_t n = write(fd_, buf_.data(),
-                            std::min(buf_.size(), kWriteBytes));
+    const ssize_t n =
+        write(fd_, buf_.data(), std::min(buf_.size(), kWriteBytes));
     if (n < 0 && errno == EINTR) {
       continue;
     }
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -34,7 +34,7 @@
     std::string data_centre;
     std::string instance;
     uint64_t incarnation = 0;
-    std::string boot;  //!< Names the boot of the machine.
+    std::string boot;          //!< Names the boot of the machine.
     double retry_ratio = 0.2;  //!< Retries a request, over all instances.
     double retry_extra = 0;    //!< More retries a window, over all instances.
   };
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -213,8 +213,7 @@
   }
   const Millis now = context_->loop->Now();
   const int64_t most = prompt_->most_tokens();
-  const auto verdict =
-      context_->shares.Reserve(now, organisation_->name, most);
+  const auto verdict = context_->shares.Reserve(now, organisation_->name, most);
   if (verdict == BudgetShares::Verdict::kShort) {
     if (!context_->shares_can_grow() || share_looks_ >= kShareLooks ||
         context_->shares.IsExhausted(now, organisation_->name, most)) {
@@ -224,11 +223,9 @@
     if (!waits_for_share_) {
       waits_for_share_ = true;
       context_->waiting.insert(this);
-      const Millis wait =
-          std::min({kShareWait, Scale(route_->objective, kShareWaitPart),
-                    Remaining()});
-      share_timer_ =
-          context_->loop->After(wait, [this] { RefuseForShare(); });
+      const Millis wait = std::min(
+          {kShareWait, Scale(route_->objective, kShareWaitPart), Remaining()});
+      share_timer_ = context_->loop->After(wait, [this] { RefuseForShare(); });
       context_->on_share_short();
     }
     return;
@@ -273,8 +270,7 @@
   wanted.prompt = prompt_ ? &*prompt_ : nullptr;
   wanted.chain = &chain_;
   wanted.tried = &tried_;
-  const auto choice =
-      context_->placement.Choose(now, wanted, context_->Draw());
+  const auto choice = context_->placement.Choose(now, wanted, context_->Draw());
   if (!choice) {
     if (may_have_run_) {
       Fail(502, "Bad Gateway", "no_other_endpoint");
@@ -283,8 +279,7 @@
     }
     return;
   }
-  const EndpointState* state =
-      context_->board.Find(choice->id, choice->born);
+  const EndpointState* state = context_->board.Find(choice->id, choice->born);
   CHECK(state != nullptr) << "event=chosen_endpoint_unknown";
   const Millis limit =
       std::min(Remaining(), Scale(route_->patience, kPatiencePart));
@@ -327,17 +322,17 @@
       absl::StrCat(request_.method, " ", request_.target, " HTTP/1.1\r\n");
   const auto connection_names = request_.fields.Find("Connection");
   for (const HttpField& it : request_.fields.all()) {
-    const bool own = std::any_of(
-        dialect.not_forwarded.begin(), dialect.not_forwarded.end(),
-        [&](const std::string& name) {
-          return EqualsIgnoringCase(name, it.name);
-        });
-    const bool resumes = head_sent_ &&
-                         EqualsIgnoringCase(it.name, dialect.last_event_id);
+    const bool own =
+        std::any_of(dialect.not_forwarded.begin(), dialect.not_forwarded.end(),
+                    [&](const std::string& name) {
+                      return EqualsIgnoringCase(name, it.name);
+                    });
+    const bool resumes =
+        head_sent_ && EqualsIgnoringCase(it.name, dialect.last_event_id);
     const bool named =
-        connection_names && absl::StrContains(
-                                absl::AsciiStrToLower(AsAbsl(*connection_names)),
-                                absl::AsciiStrToLower(it.name));
+        connection_names &&
+        absl::StrContains(absl::AsciiStrToLower(AsAbsl(*connection_names)),
+                          absl::AsciiStrToLower(it.name));
     if (!own && !resumes && !named && !IsHopByHopField(it.name) &&
         !EqualsIgnoringCase(it.name, "Content-Length")) {
       absl::StrAppend(&head, it.name, ": ", it.value, "\r\n");
@@ -376,9 +371,9 @@
   if (!route_->repeatable() || !call_) {
     return;
   }
-  const Millis late =
-      std::max(kLeastSilence, std::min(predicted * kSilenceFactor,
-                                       Scale(Remaining(), kSilencePart)));
+  const Millis late = std::max(
+      kLeastSilence,
+      std::min(predicted * kSilenceFactor, Scale(Remaining(), kSilencePart)));
   silence_timer_ = context_->loop->After(late, [this] { OnSilence(); });
 }
 
@@ -408,15 +403,13 @@
   progress.may_have_run = may_have_run_;
   progress.head_sent = head_sent_;
   progress.event_sent = cutter_.count() > 0;
-  progress.retry_allowed =
-      context_->Retries(service_->name).HasRetry();
+  progress.retry_allowed = context_->Retries(service_->name).HasRetry();
   progress.crashes_endpoints = context_->crashes.IsSuspect(content_);
   const auto usable =
       context_->board.Usable(context_->loop->Now(), service_->name);
-  progress.endpoint_left =
-      std::any_of(usable.begin(), usable.end(), [&](const EndpointState* it) {
-        return !tried_.contains(it->hash);
-      });
+  progress.endpoint_left = std::any_of(
+      usable.begin(), usable.end(),
+      [&](const EndpointState* it) { return !tried_.contains(it->hash); });
   progress.remaining = Remaining();
   return progress;
 }
@@ -433,8 +426,7 @@
                    outcome != AttemptOutcome::kMisdirected;
   may_have_run_ = may_have_run_ || ran;
   if (outcome == AttemptOutcome::kBroken && ticket_) {
-    context_->crashes.OnBroken(context_->loop->Now(), content_,
-                               ticket_->hash);
+    context_->crashes.OnBroken(context_->loop->Now(), content_, ticket_->hash);
   }
   if (outcome == AttemptOutcome::kNotSent && ticket_) {
     context_->crashes.OnEndpointDown(context_->loop->Now(), ticket_->hash);
@@ -674,9 +666,9 @@
   AnswerHead head;
   head.status = 503;
   head.reason = "Service Unavailable";
-  head.fields.Add("Retry-After",
-                  absl::StrFormat("%.3f", static_cast<double>(wait.count()) /
-                                              1000.0));
+  head.fields.Add(
+      "Retry-After",
+      absl::StrFormat("%.3f", static_cast<double>(wait.count()) / 1000.0));
   if (!request_id_.empty()) {
     head.fields.Add(context_->dialect.request_id, request_id_);
   }
@@ -755,8 +747,8 @@
       .Add("organisation", organisation_->name)
       .Add("reserved", reserved_)
       .Add("spent", spent)
-      .Add("left_in_share", context_->shares.Available(
-                                context_->loop->Now(), organisation_->name));
+      .Add("left_in_share", context_->shares.Available(context_->loop->Now(),
+                                                       organisation_->name));
   context_->shares.Settle(organisation_->name, reserved_, spent);
   reserved_ = 0;
 }
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -125,7 +125,7 @@
   std::string buffered_;
   bool head_sent_ = false;
   bool delivered_ = false;  //!< A good answer went out in one piece.
-  bool raw_ = false;  //!< The answer is not cut into events.
+  bool raw_ = false;        //!< The answer is not cut into events.
   EventCutter cutter_;
   Millis first_event_at_;
 
--- a/src/transport/relay/request_task.h
+++ b/src/transport/relay/request_task.h
@@ -23,8 +23,9 @@
 };
 
 //! Makes the task of a request. The connection outlives the task.
-using RequestHandler = std::function<std::unique_ptr<RequestTask>(
-    CallerConnection* connection, CallerRequest request)>;
+using RequestHandler =
+    std::function<std::unique_ptr<RequestTask>(CallerConnection* connection,
+                                               CallerRequest request)>;
 
 }  // namespace tamaracktrail
 
