--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -172,29 +172,56 @@
   return estimate;
 }
 
-double Placement::EstimatePlain(const EndpointState& state) const {
+double Placement::EstimatePlain(const EndpointState& state) {
   const double slots = std::max(1, state.entry.slots);
   return kPlainMs * (1 + static_cast<double>(state.open()) / slots) *
          state.slowness;
 }
 
+const EndpointState* Placement::FindHome(
+    const Request& request,
+    const std::vector<const EndpointState*>& usable) {
+  const EndpointState* home = nullptr;
+  if (request.chain->size() < 2) {
+    return home;
+  }
+  // The last part is the request's own; the one before it is its session's.
+  const uint64_t session = (*request.chain)[request.chain->size() - 2];
+  uint64_t best = 0;
+  for (const EndpointState* it : usable) {
+    const uint64_t weight = RendezvousWeight(session, it->hash);
+    if (home == nullptr || weight > best) {
+      best = weight;
+      home = it;
+    }
+  }
+  return home;
+}
+
+Placement::Estimate Placement::EstimateAt(Millis now,
+                                          const Request& request,
+                                          const EndpointState& state,
+                                          const EndpointState* home) const {
+  Estimate estimate;
+  if (request.prompt != nullptr && request.service->generates) {
+    estimate = EstimateEngine(now, request, state, home);
+  } else {
+    estimate.predicted_ms = EstimatePlain(state);
+    estimate.cost_ms = estimate.predicted_ms;
+  }
+  estimate.cost_ms += HealthMs(now, state);
+  if (state.entry.data_centre != data_centre_) {
+    estimate.cost_ms += kOtherDataCentreMs;
+  }
+  return estimate;
+}
+
 std::optional<Placement::Choice> Placement::Choose(Millis now,
                                                    const Request& request,
                                                    double jitter) const {
   const auto usable = board_->Usable(now, request.service->name);
-  const bool engine = request.prompt != nullptr && request.service->generates;
-  const EndpointState* home = nullptr;
-  if (engine && request.chain->size() > 1) {
-    const uint64_t key = (*request.chain)[request.chain->size() - 2];
-    uint64_t best = 0;
-    for (const EndpointState* it : usable) {
-      const uint64_t weight = RendezvousWeight(key, it->hash);
-      if (home == nullptr || weight > best) {
-        best = weight;
-        home = it;
-      }
-    }
-  }
+  const EndpointState* home =
+      request.prompt != nullptr ? FindHome(request, usable) : nullptr;
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double least = std::numeric_limits<double>::infinity();
@@ -203,21 +230,12 @@
     if (request.tried != nullptr && request.tried->contains(state.hash)) {
       continue;
     }
-    Estimate estimate;
-    if (engine) {
-      estimate = EstimateEngine(now, request, state, home);
-    } else {
-      estimate.predicted_ms = EstimatePlain(state);
-      estimate.cost_ms = estimate.predicted_ms;
-    }
-    estimate.cost_ms += HealthMs(now, state);
-    if (state.entry.data_centre != data_centre_) {
-      estimate.cost_ms += kOtherDataCentreMs;
-    }
+    const Estimate estimate = EstimateAt(now, request, state, home);
     const double spread = jitter * static_cast<double>(i + 1);
-    estimate.cost_ms += kJitterMs * (spread - std::floor(spread));
-    if (estimate.cost_ms < least) {
-      least = estimate.cost_ms;
+    const double cost =
+        estimate.cost_ms + kJitterMs * (spread - std::floor(spread));
+    if (cost < least) {
+      least = cost;
       chosen = &state;
       chosen_estimate = estimate;
     }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -69,7 +69,15 @@
                           const Request& request,
                           const EndpointState& state,
                           const EndpointState* home) const;
-  double EstimatePlain(const EndpointState& state) const;
+  Estimate EstimateAt(Millis now,
+                      const Request& request,
+                      const EndpointState& state,
+                      const EndpointState* home) const;
+  //! The engine that all instances prefer for the request's session.
+  static const EndpointState* FindHome(
+      const Request& request,
+      const std::vector<const EndpointState*>& usable);
+  static double EstimatePlain(const EndpointState& state);
 
   const EndpointBoard* board_;
   const PrefixMemory* memory_;
--- a/src/state/millis.h
+++ b/src/state/millis.h
@@ -28,6 +28,11 @@
     return Millis(a.count_ * n);
   }
 
+  //! This times `factor`, cut to whole milliseconds.
+  constexpr Millis Scaled(double factor) const {
+    return Millis(static_cast<int64_t>(static_cast<double>(count_) * factor));
+  }
+
   template <class Archive>
   void serialize(Archive& archive) {
     archive(count_);
--- a/src/transport/relay/endpoint_call.cpp
+++ b/src/transport/relay/endpoint_call.cpp
@@ -63,11 +63,7 @@
                          std::shared_ptr<const std::string> body) {
   head_ = head;
   body_ = std::move(body);
-  reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kResponse,
-                                         kMaxAnswerHeadBytes);
-  if (!options_.expects_body) {
-    reader_->ExpectNoBody();
-  }
+  StartReader();
   stream_ = pool_->Take(options_.endpoint, options_.max_idle);
   if (stream_ != nullptr) {
     reused_ = true;
@@ -78,7 +74,7 @@
   auto connecting = TcpStream::Connect(loop_, options_.address,
                                        options_.unacknowledged, this);
   if (!connecting.ok()) {
-    const absl::Status status = connecting.status();
+    const absl::Status& status = connecting.status();
     loop_->Defer([this, alive = alive_, status] {
       if (*alive) {
         Fail(status);
@@ -139,64 +135,65 @@
   }
 }
 
-bool EndpointCall::Progress(bool ended) {
-  const std::shared_ptr<bool> alive = alive_;
-  while (true) {
-    const absl::Status fed = reader_->Feed(&in_);
-    if (!fed.ok()) {
-      Fail(fed);
-      return false;
-    }
-    if (ended && !reader_->done()) {
-      const absl::Status end = reader_->ends_with_connection()
-                                   ? reader_->FeedEnd()
-                                   : absl::DataLossError("cut answer");
-      if (!end.ok()) {
-        Fail(end);
-        return false;
-      }
-    }
-    if (reader_->head_done() && !head_told_) {
-      head_told_ = true;
-      const bool interim = reader_->status() / 100 == 1;
-      foreign_ = interim || !observer_->OnAnswerHead(*reader_);
-      if (!*alive) {
-        return false;
-      }
-      met_foreign_ = met_foreign_ || (foreign_ && !interim);
-    }
-    if (foreign_) {
-      reader_->body().clear();
-    } else if (!reader_->body().empty()) {
-      observer_->OnAnswerBody(&reader_->body());
-      if (!*alive) {
-        return false;
-      }
-    }
-    if (!reader_->done()) {
-      return true;
-    }
+void EndpointCall::Progress(bool ended) {
+  while (FeedReader(ended) && TellObserver() && reader_->done()) {
     if (!foreign_) {
       FinishAnswer();
-      return false;
+      return;
     }
     if (ended) {
       Fail(absl::DataLossError("an answer to another request"));
-      return false;
-    }
-    reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kResponse,
-                                           kMaxAnswerHeadBytes);
-    if (!options_.expects_body) {
-      reader_->ExpectNoBody();
+      return;
     }
-    head_told_ = false;
-    foreign_ = false;
+    StartReader();
     if (in_.empty()) {
-      return true;
+      return;
     }
   }
 }
 
+void EndpointCall::StartReader() {
+  reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kResponse,
+                                         kMaxAnswerHeadBytes);
+  if (!options_.expects_body) {
+    reader_->ExpectNoBody();
+  }
+  head_told_ = false;
+  foreign_ = false;
+}
+
+bool EndpointCall::FeedReader(bool ended) {
+  absl::Status fed = reader_->Feed(&in_);
+  if (fed.ok() && ended && !reader_->done()) {
+    fed = reader_->ends_with_connection() ? reader_->FeedEnd()
+                                          : absl::DataLossError("cut answer");
+  }
+  if (!fed.ok()) {
+    Fail(fed);
+  }
+  return fed.ok();
+}
+
+bool EndpointCall::TellObserver() {
+  const std::shared_ptr<bool> alive = alive_;
+  if (reader_->head_done() && !head_told_) {
+    head_told_ = true;
+    const bool interim = reader_->status() / 100 == 1;
+    const bool foreign = interim || !observer_->OnAnswerHead(*reader_);
+    if (!*alive) {
+      return false;
+    }
+    foreign_ = foreign;
+    met_foreign_ = met_foreign_ || (foreign && !interim);
+  }
+  if (foreign_) {
+    reader_->body().clear();
+  } else if (!reader_->body().empty()) {
+    observer_->OnAnswerBody(&reader_->body());
+  }
+  return *alive;
+}
+
 void EndpointCall::FinishAnswer() {
   // Bytes behind the answer, or a request that is not out yet, make the
   // connection useless for the next request.
--- a/src/transport/relay/endpoint_call.h
+++ b/src/transport/relay/endpoint_call.h
@@ -78,7 +78,11 @@
 
   void SendRequest();
   bool ReadOnce(bool* ended);
-  bool Progress(bool ended);
+  void Progress(bool ended);
+  void StartReader();
+  bool FeedReader(bool ended);
+  //! False once the call was destroyed.
+  bool TellObserver();
   void FinishAnswer();
   void Fail(const absl::Status& status);
 
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -64,6 +64,7 @@
 
   // Attempts.
   void Attempt();
+  void Send(const Placement::Choice& choice, const EndpointState& state);
   std::string RequestHead(const Placement::Choice& choice) const;
   void ArmSilenceTimer(Millis predicted);
   void OnSilence();
--- /dev/null
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -0,0 +1,303 @@
+#include <algorithm>
+#include <cstddef>
+
+#include <glog/logging.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "coordination/attempt_rules.h"
+#include "protocol/http_reader.h"
+#include "protocol/text.h"
+#include "state/routing_config.h"
+#include "transport/log_line.h"
+#include "transport/metrics.h"
+#include "transport/relay/caller_connection.h"
+#include "transport/relay/relay_context.h"
+#include "transport/relay/relay_task.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+//! Answers up to this size are held until they are whole, so that a broken one
+//! can be replaced.
+constexpr size_t kHeldBytes = 1024 * 1024;
+
+//! Shortest and longest wait that a refused caller is told.
+constexpr Millis kLeastRetryAfter{100};
+constexpr Millis kMostRetryAfter{3000};
+
+//! Callers honour a wait of up to a third of their time; a little less arrives.
+constexpr double kRetryAfterPart = 0.3;
+
+}  // namespace
+
+// --- Answers of the endpoint -----------------------------------------------
+
+AttemptOutcome RelayTask::Classify(const HttpReader& answer) const {
+  const CallDialect& dialect = context_->dialect;
+  const int status = answer.status();
+  if (status == 421) {
+    return AttemptOutcome::kMisdirected;
+  }
+  if (answer.fields().Count(dialect.not_run) > 0) {
+    return AttemptOutcome::kRefused;
+  }
+  const bool is_signed = answer.fields().Count(dialect.signature) == 1;
+  if (!is_signed || answer.fields().Count("Content-Encoding") > 0) {
+    return AttemptOutcome::kBroken;
+  }
+  if (status >= 500) {
+    return AttemptOutcome::kFailed;
+  }
+  return AttemptOutcome::kAnswered;
+}
+
+bool RelayTask::OnAnswerHead(const HttpReader& answer) {
+  const auto id = answer.fields().Find(context_->dialect.request_id);
+  if (id && *id != request_id_) {
+    LogLine(context_->log, "foreign_answer")
+        .Add("id", request_id_)
+        .Add("endpoint", ticket_ ? ticket_->id : "")
+        .Add("belongs_to", AsAbsl(*id));
+    return false;
+  }
+  answer_kind_ = Classify(answer);
+  if (ticket_) {
+    context_->board.OnFirstByte(context_->loop->Now(), &*ticket_);
+  }
+  context_->loop->Cancel(&silence_timer_);
+  if (head_sent_) {
+    return true;
+  }
+  answer_ = {};
+  answer_.status = answer.status();
+  answer_.reason = answer.reason();
+  for (const HttpField& it : answer.fields().all()) {
+    if (!IsHopByHopField(it.name) &&
+        !EqualsIgnoringCase(it.name, "Content-Length")) {
+      answer_.fields.Add(it.name, it.value);
+    }
+  }
+  const auto type = answer.fields().Find("Content-Type");
+  raw_ = !type || type->find("event-stream") == std::string_view::npos;
+  return true;
+}
+
+bool RelayTask::StreamsNow() const {
+  return route_->kind == CallKind::kStream &&
+         answer_kind_ == AttemptOutcome::kAnswered;
+}
+
+void RelayTask::OnAnswerBody(std::string* body) {
+  if (StreamsNow() && !raw_) {
+    const std::string bytes = std::move(*body);
+    body->clear();
+    ForwardEvents(cutter_.Feed(bytes));
+    return;
+  }
+  buffered_ += *body;
+  body->clear();
+  if (head_sent_ && !buffered_.empty()) {
+    connection_->WriteBody(buffered_);
+    buffered_.clear();
+  } else if (buffered_.size() > kHeldBytes) {
+    head_sent_ = true;
+    connection_->BeginAnswer(answer_);
+    connection_->WriteBody(buffered_);
+    buffered_.clear();
+  }
+  if (call_ && connection_->congested()) {
+    call_->PauseReading(true);
+  }
+}
+
+void RelayTask::ForwardEvents(const std::string& bytes) {
+  if (bytes.empty()) {
+    return;
+  }
+  if (!head_sent_) {
+    head_sent_ = true;
+    first_event_at_ = context_->loop->Now();
+    connection_->BeginAnswer(answer_);
+  }
+  connection_->WriteBody(bytes);
+  if (call_ && connection_->congested()) {
+    call_->PauseReading(true);
+  }
+}
+
+void RelayTask::OnCallerDrained() {
+  if (call_) {
+    call_->PauseReading(false);
+  }
+}
+
+void RelayTask::OnAnswerDone() {
+  if (head_sent_ && answer_kind_ != AttemptOutcome::kAnswered) {
+    // The endpoint that should go on with a stream did not.
+    FinishAttempt(answer_kind_, "the stream was not resumed");
+    return;
+  }
+  FinishAttempt(answer_kind_, "answer");
+}
+
+void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
+  FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
+                std::string(status.message()));
+}
+
+void RelayTask::DeliverBuffered() {
+  finished_ = true;
+  delivered_ = answer_.status / 100 == 2;
+  buffered_ += cutter_.TakeRest();
+  context_->loop->Cancel(&end_timer_);
+  LogEnd(answer_.status, "delivered", "");
+  connection_->Answer(answer_, buffered_);
+}
+
+void RelayTask::EndStream() {
+  finished_ = true;
+  context_->loop->Cancel(&end_timer_);
+  connection_->WriteBody(cutter_.TakeRest());
+  LogEnd(answer_.status, "delivered", "");
+  connection_->EndAnswer();
+}
+
+// --- Own answers -----------------------------------------------------------
+
+Millis RelayTask::RetryAfter(Millis wanted) const {
+  // Returners are spread, so that they do not come in one wave.
+  const Millis spread = wanted.Scaled(0.75 + 0.5 * context_->Draw());
+  const Millis longest =
+      route_ == nullptr ? kMostRetryAfter : Remaining().Scaled(kRetryAfterPart);
+  return std::max(Millis(1), std::min({std::max(spread, kLeastRetryAfter),
+                                       longest, kMostRetryAfter}));
+}
+
+void RelayTask::Refuse(const char* reason, Millis retry_after) {
+  CHECK(!may_have_run_) << "event=refused_after_run id=" << request_id_;
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  const Millis wait = RetryAfter(retry_after);
+  AnswerHead head;
+  head.status = 503;
+  head.reason = "Service Unavailable";
+  head.fields.Add(
+      "Retry-After",
+      absl::StrFormat("%.3f", static_cast<double>(wait.count()) / 1000.0));
+  if (!request_id_.empty()) {
+    head.fields.Add(context_->dialect.request_id, request_id_);
+  }
+  LogEnd(503, "refused", reason);
+  connection_->Answer(head, "");
+}
+
+void RelayTask::Fail(int status, const char* text, const char* reason) {
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  AnswerHead head;
+  head.status = status;
+  head.reason = text;
+  if (!request_id_.empty()) {
+    head.fields.Add(context_->dialect.request_id, request_id_);
+  }
+  LogEnd(status, "failed", reason);
+  connection_->Answer(head, "");
+}
+
+void RelayTask::BreakOff(const char* reason) {
+  finished_ = true;
+  call_.reset();
+  context_->loop->Cancel(&end_timer_);
+  LogEnd(0, "broken_off", reason);
+  connection_->BreakOff();
+}
+
+void RelayTask::OnTimeUp() {
+  const bool open = call_ != nullptr && call_->sent();
+  may_have_run_ = may_have_run_ || open;
+  if (ticket_) {
+    if (!ticket_->answered) {
+      ReportOutcome(AttemptOutcome::kSilent);
+    } else {
+      context_->board.OnAbandoned(&*ticket_);
+      ticket_.reset();
+    }
+  }
+  call_.reset();
+  context_->waiting.erase(this);
+  context_->loop->Cancel(&share_timer_);
+  switch (StepAtTimeout(Progress(), open)) {
+    case NextStep::kBreakOff:
+      BreakOff("time_up");
+      return;
+    case NextStep::kRefuse:
+      Refuse("time_up", kLeastRetryAfter);
+      return;
+    default:
+      Fail(504, "Gateway Timeout", "time_up");
+      return;
+  }
+}
+
+// --- Accounts --------------------------------------------------------------
+
+void RelayTask::Settle() {
+  if (reserved_ == 0) {
+    return;
+  }
+  // Tokens count once an answer reaches the caller; a run that brought it
+  // nothing is not charged.
+  int64_t spent = 0;
+  if (head_sent_ || delivered_) {
+    const int64_t output =
+        service_->event_tokens > 0 && !raw_
+            ? std::min(prompt_->max_output_tokens,
+                       cutter_.count() * service_->event_tokens)
+            : prompt_->max_output_tokens;
+    spent = prompt_->prompt_tokens + output;
+  }
+  LogLine(context_->log, "charge")
+      .Add("id", request_id_)
+      .Add("organisation", organisation_->name)
+      .Add("reserved", reserved_)
+      .Add("spent", spent)
+      .Add("left_in_share", context_->shares.Available(context_->loop->Now(),
+                                                       organisation_->name));
+  context_->shares.Settle(organisation_->name, reserved_, spent);
+  reserved_ = 0;
+}
+
+void RelayTask::LogEnd(int status,
+                       const char* outcome,
+                       const std::string& reason) {
+  const Millis now = context_->loop->Now();
+  context_->metrics->Count(absl::StrCat("requests_total{outcome=\"", outcome,
+                                        "\",reason=\"", reason, "\"}"));
+  context_->metrics->Observe(
+      "request_ms", static_cast<double>((now - request_.began).count()));
+  if (first_event_at_ > Millis(0)) {
+    context_->metrics->Observe(
+        "first_event_ms",
+        static_cast<double>((first_event_at_ - request_.began).count()));
+  }
+  LogLine line(context_->log, "request_end");
+  line.Add("id", request_id_)
+      .Add("status", status)
+      .Add("outcome", outcome)
+      .AddQuoted("reason", reason)
+      .Add("route", route_ ? route_->name : "")
+      .Add("organisation", organisation_ ? organisation_->name : "")
+      .Add("config", config_ ? config_->version() : 0)
+      .Add("ms", now - request_.began)
+      .Add("sends", sends_)
+      .Add("events", cutter_.count());
+  if (first_event_at_ > Millis(0)) {
+    line.Add("first_event_ms", first_event_at_ - request_.began);
+  }
+}
+
+}  // namespace tamaracktrail
