--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -12,7 +12,7 @@
 
 //! A share covers this much demand: instances are cut off from the platform for
 //! up to about 9 s at a time.
-constexpr double kCoverSeconds = 9.5;
+constexpr double kCoverSeconds = 7.5;
 
 //! Part of its fair share of what is left that an instance holds at most. A
 //! power loss of all instances strands what they hold, and an organisation near
