--- /dev/null
+++ b/tests/coordination/attempt_rules_test.cpp
@@ -0,0 +1,142 @@
+#include "coordination/attempt_rules.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+#include "coordination/attempt_outcome.h"
+#include "coordination/request_progress.h"
+#include "state/call_kind.h"
+
+namespace tamaracktrail {
+namespace {
+
+RequestProgress Start(CallKind kind, bool resumable = false) {
+  RequestProgress progress;
+  progress.kind = kind;
+  progress.resumable = resumable;
+  progress.max_attempts = 2;
+  progress.sends = 1;
+  progress.dials = 1;
+  progress.retry_allowed = true;
+  progress.endpoint_left = true;
+  progress.remaining = Millis(1000);
+  return progress;
+}
+
+RequestProgress Ran(RequestProgress progress) {
+  progress.may_have_run = true;
+  return progress;
+}
+
+TEST(AttemptRulesTest, ARequestThatSurelyHasNotRunGoesToAnother) {
+  for (const CallKind kind :
+       {CallKind::kSafe, CallKind::kUnsafe, CallKind::kStream}) {
+    for (const AttemptOutcome outcome :
+         {AttemptOutcome::kNotSent, AttemptOutcome::kRefused,
+          AttemptOutcome::kMisdirected}) {
+      EXPECT_EQ(StepAfterAttempt(Start(kind), outcome), NextStep::kTryAnother);
+    }
+  }
+}
+
+TEST(AttemptRulesTest, ARequestThatMayHaveRunIsNotSentAgainUnlessHarmless) {
+  for (const AttemptOutcome outcome :
+       {AttemptOutcome::kBroken, AttemptOutcome::kSilent}) {
+    EXPECT_NE(StepAfterAttempt(Ran(Start(CallKind::kUnsafe)), outcome),
+              NextStep::kTryAnother);
+    EXPECT_NE(StepAfterAttempt(Ran(Start(CallKind::kStream)), outcome),
+              NextStep::kTryAnother);
+    EXPECT_EQ(StepAfterAttempt(Ran(Start(CallKind::kSafe)), outcome),
+              NextStep::kTryAnother);
+    EXPECT_EQ(StepAfterAttempt(Ran(Start(CallKind::kStream, true)), outcome),
+              NextStep::kTryAnother);
+  }
+}
+
+// "Not run" must stay true over all attempts, not only the last one.
+TEST(AttemptRulesTest, NotRunIsNeverToldAfterAnAttemptThatMayHaveRun) {
+  RequestProgress progress = Ran(Start(CallKind::kSafe));
+  progress.sends = 2;
+  for (const AttemptOutcome outcome :
+       {AttemptOutcome::kNotSent, AttemptOutcome::kRefused,
+        AttemptOutcome::kMisdirected, AttemptOutcome::kBroken,
+        AttemptOutcome::kSilent}) {
+    EXPECT_NE(StepAfterAttempt(progress, outcome), NextStep::kRefuse);
+  }
+  EXPECT_NE(StepAtTimeout(progress, false), NextStep::kRefuse);
+}
+
+TEST(AttemptRulesTest, LimitsOfARepeatedSend) {
+  const RequestProgress base = Start(CallKind::kSafe);
+  RequestProgress spent = base;
+  spent.sends = 2;
+  RequestProgress no_budget = base;
+  no_budget.retry_allowed = false;
+  RequestProgress alone = base;
+  alone.endpoint_left = false;
+  RequestProgress late = base;
+  late.remaining = Millis(5);
+  for (const RequestProgress& it :
+       std::vector<RequestProgress>{spent, no_budget, alone, late}) {
+    EXPECT_EQ(StepAfterAttempt(it, AttemptOutcome::kRefused),
+              NextStep::kRefuse);
+  }
+}
+
+// An attempt that reached nobody is no arrival at the service.
+TEST(AttemptRulesTest, AFailedConnectionNeedsNoRetryBudget) {
+  RequestProgress progress = Start(CallKind::kUnsafe);
+  progress.sends = 0;
+  progress.max_attempts = 1;
+  progress.retry_allowed = false;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kNotSent),
+            NextStep::kTryAnother);
+  progress.dials = 6;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kNotSent),
+            NextStep::kRefuse);
+}
+
+TEST(AttemptRulesTest, AnEndpointsOwnErrorIsDeliveredWhenItCannotBeRepeated) {
+  EXPECT_EQ(
+      StepAfterAttempt(Ran(Start(CallKind::kUnsafe)), AttemptOutcome::kFailed),
+      NextStep::kDeliver);
+  EXPECT_EQ(
+      StepAfterAttempt(Ran(Start(CallKind::kSafe)), AttemptOutcome::kFailed),
+      NextStep::kTryAnother);
+}
+
+TEST(AttemptRulesTest, AStreamThatBegunGoesOnOnlyWhereItMayBeResumed) {
+  RequestProgress progress = Ran(Start(CallKind::kStream, true));
+  progress.head_sent = true;
+  progress.event_sent = true;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kBroken),
+            NextStep::kResume);
+  progress.resumable = false;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kBroken),
+            NextStep::kBreakOff);
+  EXPECT_EQ(StepAtTimeout(progress, true), NextStep::kBreakOff);
+}
+
+TEST(AttemptRulesTest, ContentThatCrashesEndpointsIsNotRepeated) {
+  RequestProgress progress = Ran(Start(CallKind::kSafe));
+  progress.crashes_endpoints = true;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kBroken),
+            NextStep::kBadGateway);
+}
+
+TEST(AttemptRulesTest, NothingIsSentForACallerWhoLeft) {
+  RequestProgress progress = Start(CallKind::kSafe);
+  progress.caller_gone = true;
+  EXPECT_EQ(StepAfterAttempt(progress, AttemptOutcome::kRefused),
+            NextStep::kDrop);
+  EXPECT_EQ(StepAtTimeout(progress, false), NextStep::kDrop);
+}
+
+TEST(AttemptRulesTest, TimeoutsPromiseNothingOnceARequestWasSent) {
+  EXPECT_EQ(StepAtTimeout(Start(CallKind::kUnsafe), true), NextStep::kTimeOut);
+  EXPECT_EQ(StepAtTimeout(Start(CallKind::kUnsafe), false), NextStep::kRefuse);
+}
+
+}  // namespace
+}  // namespace tamaracktrail
