--- /dev/null
+++ b/tests/platform/front_test.cpp
@@ -0,0 +1,539 @@
+#include "platform/front.h"
+
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "cli/relay_settings.h"
+#include "platform/wire_names.h"
+#include "protocol/http_reader.h"
+#include "support/loopback.h"
+#include "support/stand_in_endpoint.h"
+#include "support/stand_in_store.h"
+#include "transport/event_loop.h"
+#include "transport/tcp_stream.h"
+
+namespace tamaracktrail {
+namespace {
+
+using nlohmann::json;
+
+//! A caller that keeps its connection open after one request, and what came.
+class Caller : public TcpStream::Observer {
+ public:
+  Caller(EventLoop* loop, const std::string& address, std::string request)
+      : request_(std::move(request)),
+        reader_(HttpReader::Kind::kResponse, 65536),
+        stream_(*TcpStream::Connect(loop, address, Millis(5000), this)) {}
+
+  void OnConnected() override {
+    stream_->Write(request_);
+    stream_->Flush();
+  }
+
+  void OnReadable() override {
+    std::string buf;
+    const auto result = stream_->Read(&buf, 65536);
+    in_ += buf;
+    if (!reader_.Feed(&in_).ok()) {
+      broken_ = true;
+    }
+    if (result == TcpStream::ReadResult::kEnd ||
+        result == TcpStream::ReadResult::kFailed) {
+      ended_ = true;
+      stream_.reset();
+    }
+  }
+
+  void OnFailed(const absl::Status&) override { ended_ = true; }
+
+  //! Leaves without waiting.
+  void Leave() { stream_.reset(); }
+
+  bool whole() const { return reader_.done() && !broken_; }
+  bool over() const { return whole() || ended_ || broken_; }
+  int status() const { return reader_.head_done() ? reader_.status() : 0; }
+  HttpReader& answer() { return reader_; }
+
+ private:
+  std::string request_;
+  HttpReader reader_;
+  std::string in_;
+  bool ended_ = false;
+  bool broken_ = false;
+  std::unique_ptr<TcpStream> stream_;
+};
+
+json RouteEntry(const std::string& name,
+                const std::string& kind,
+                int attempts,
+                bool resumable) {
+  return {{"name", name},
+          {"host", "h.example"},
+          {"path_prefix", absl::StrCat("/", name, "/")},
+          {"kind", kind},
+          {"timeout_ms", 1500},
+          {"target_latency_ms", 300},
+          {"priority", 0},
+          {"service", kind == "streaming" ? "llm" : "app"},
+          {"max_attempts", attempts},
+          {"public", false},
+          {"stream_resumption", resumable},
+          {"target_gap_ms", 300}};
+}
+
+json Config(int64_t version, int64_t prepaid) {
+  return {{"version", version},
+          {"routes",
+           {RouteEntry("safe", "safe", 2, false),
+            RouteEntry("fee", "unsafe", 2, false),
+            RouteEntry("report", "streaming", 2, false),
+            RouteEntry("ask", "streaming", 2, true)}},
+          {"services",
+           {{{"name", "llm"},
+             {"connection_limit", 100},
+             {"engine", {{"slots", 8}, {"stride", 5}}}},
+            {{"name", "app"}, {"connection_limit", 100}}}},
+          {"limits",
+           {{"max_header_bytes", 4096},
+            {"max_body_bytes", 10000},
+            {"header_timeout_ms", 1000},
+            {"idle_timeout_ms", 5000}}},
+          {"tenants",
+           {{{"name", "cedar"},
+             {"api_keys", {"key-1"}},
+             {"priority", 1},
+             {"prepaid", prepaid}}}}};
+}
+
+//! One instance between stand-ins, all on one thread and one main loop.
+class FrontTest : public testing::Test {
+ protected:
+  FrontTest() : store_(&loop_), a_(&loop_, "a"), b_(&loop_, "b") {
+    settings_.instance = "node-1";
+    settings_.data_centre = "dc-1";
+    settings_.callers_address = FreeAddress();
+    settings_.health_address = FreeAddress();
+    settings_.peers_address = FreeAddress();
+    settings_.metrics_address = FreeAddress();
+    settings_.store_address = store_.address();
+    settings_.file_descriptors = 1024;
+    settings_.retry_ratio = 0.2;
+    settings_.retry_extra = 50;
+    settings_.grace = Millis(4000);
+    PutConfig(1, 1000000);
+    for (StandInEndpoint* it : {&a_, &b_}) {
+      PutEndpoint(*it, "app", 1, false);
+    }
+  }
+
+  void PutConfig(int64_t version, int64_t prepaid) {
+    store_.Put(platform::kOperatorTopic, platform::kConfigKey,
+               Config(version, prepaid).dump());
+  }
+
+  void PutEndpoint(const StandInEndpoint& endpoint,
+                   const std::string& service,
+                   int64_t sequence,
+                   bool draining) {
+    store_.Put(platform::kEndpointTopic, endpoint.id(),
+               endpoint.Entry(service, sequence, draining));
+  }
+
+  void UseAsEngines() {
+    for (StandInEndpoint* it : {&a_, &b_}) {
+      PutEndpoint(*it, "llm", 2, false);
+    }
+  }
+
+  std::string Request(const std::string& route,
+                      const std::string& id,
+                      const std::string& more = "") {
+    const bool stream = route == "report" || route == "ask";
+    return absl::StrCat(
+        "POST /", route, "/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ", id,
+        "\r\nX-Request-Deadline: 1200\r\nAuthorization: Bearer key-1\r\n",
+        stream ? "X-Model: m\r\nX-Token-Usage: 1000,100\r\n"
+                 "X-Prompt-Prefix: aa:600,bb:300,cc:100\r\n"
+               : "",
+        more, "Content-Length: 4\r\n\r\nbody");
+  }
+
+  Caller* Send(const std::string& request) {
+    callers_.push_back(
+        std::make_unique<Caller>(&loop_, settings_.callers_address, request));
+    return callers_.back().get();
+  }
+
+  //! Runs the instance; `script` runs once it is ready.
+  void Run(const std::function<void()>& script) {
+    platform::Front front("no-settings-file", settings_);
+    WhenReady(script);
+    const absl::Status status = front.Run();
+    EXPECT_TRUE(status.ok()) << status;
+  }
+
+  void WhenReady(const std::function<void()>& script) {
+    auto probe =
+        std::make_shared<Caller>(&loop_, settings_.health_address,
+                                 absl::StrCat("GET ", platform::kReadinessPath,
+                                              " HTTP/1.1\r\nHost: x\r\n\r\n"));
+    Await([probe] { return probe->over(); },
+          [this, probe, script] {
+            if (probe->status() == 200) {
+              script();
+            } else {
+              WhenReady(script);
+            }
+          });
+  }
+
+  //! Calls `then` once `done` holds; fails the test after some seconds.
+  void Await(const std::function<bool()>& done,
+             const std::function<void()>& then,
+             int looks = 2500) {
+    if (done()) {
+      then();
+    } else if (looks == 0) {
+      ADD_FAILURE() << "waited in vain";
+      Stop();
+    } else {
+      loop_.After(Millis(2), [=, this] { Await(done, then, looks - 1); });
+    }
+  }
+
+  void AwaitOver(Caller* caller, const std::function<void()>& then) {
+    Await([caller] { return caller->over(); }, then);
+  }
+
+  static void Stop() { raise(SIGTERM); }
+
+  //! Sends one request and stops after its answer.
+  Caller* RunOne(const std::string& request) {
+    Caller* caller = nullptr;
+    Run([&] {
+      caller = Send(request);
+      AwaitOver(caller, [] { Stop(); });
+    });
+    return caller;
+  }
+
+  EventLoop loop_;
+  StandInStore store_;
+  StandInEndpoint a_;
+  StandInEndpoint b_;
+  RelaySettings settings_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+};
+
+TEST_F(FrontTest, ForwardsARequestAndItsAnswerUnchanged) {
+  Caller* caller = RunOne(Request(
+      "fee", "id-1", "X-Tenant: forged\r\nX-Hold: h\r\nX-Own: kept\r\n"));
+  ASSERT_TRUE(caller->whole());
+  EXPECT_EQ(caller->status(), 200);
+  EXPECT_EQ(caller->answer().body(), "body");
+  EXPECT_EQ(caller->answer().fields().Count("X-Server-Signature"), 1U);
+  ASSERT_EQ(a_.ran().size() + b_.ran().size(), 1U);
+  const CallerRequest& ran = a_.ran().empty() ? b_.ran()[0] : a_.ran()[0];
+  EXPECT_EQ(ran.method, "POST");
+  EXPECT_EQ(ran.target, "/fee/x");
+  EXPECT_EQ(*ran.body, "body");
+  EXPECT_EQ(ran.fields.Find("X-Tenant"), "cedar");
+  EXPECT_EQ(ran.fields.Count("X-Tenant"), 1U);
+  EXPECT_EQ(ran.fields.Find("X-Own"), "kept");
+  EXPECT_EQ(ran.fields.Count("X-Hold"), 0U);
+  EXPECT_EQ(ran.fields.Count("Authorization"), 0U);
+  EXPECT_EQ(ran.fields.Count("X-Expected-Instance"), 1U);
+}
+
+struct OwnAnswer {
+  const char* name;
+  const char* request;
+  int status;
+};
+
+class OwnAnswerTest : public FrontTest,
+                      public testing::WithParamInterface<OwnAnswer> {};
+
+TEST_P(OwnAnswerTest, SaysWhy) {
+  Caller* caller = RunOne(GetParam().request);
+  EXPECT_EQ(caller->status(), GetParam().status);
+  EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    OwnAnswerTest,
+    testing::Values(
+        OwnAnswer{"no_route",
+                  "GET /other/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\nAuthorization: Bearer key-1\r\n\r\n",
+                  404},
+        OwnAnswer{"unknown_host",
+                  "GET /fee/ HTTP/1.1\r\nHost: other\r\n"
+                  "X-Request-Id: 1\r\nAuthorization: Bearer key-1\r\n\r\n",
+                  404},
+        OwnAnswer{"unknown_key",
+                  "GET /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\nAuthorization: Bearer other\r\n\r\n",
+                  401},
+        OwnAnswer{"no_key",
+                  "GET /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\n\r\n",
+                  401},
+        OwnAnswer{"no_id",
+                  "GET /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "Authorization: Bearer key-1\r\n\r\n",
+                  400},
+        OwnAnswer{"two_ids",
+                  "GET /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\nX-Request-Id: 2\r\n"
+                  "Authorization: Bearer key-1\r\n\r\n",
+                  400},
+        OwnAnswer{"ambiguous_framing",
+                  "POST /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\nContent-Length: 0\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                  400},
+        OwnAnswer{"body_too_large",
+                  "POST /fee/ HTTP/1.1\r\nHost: h.example\r\n"
+                  "X-Request-Id: 1\r\nContent-Length: 20000\r\n\r\n",
+                  413}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST_F(FrontTest, StreamsEventsAndChargesWhatWasDelivered) {
+  UseAsEngines();
+  Caller* caller = RunOne(Request("report", "id-1"));
+  ASSERT_TRUE(caller->whole());
+  EXPECT_EQ(caller->answer().body(),
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+            "id: 4\ndata: x\n\nid: 5\ndata: x\n\n");
+  const auto claim = DecodeBudgetClaim(
+      "node-1/cedar", store_.Newest(platform::kBudgetTopic, "node-1/cedar"));
+  ASSERT_TRUE(claim);
+  // 1,000 prompt tokens and five events of five tokens; the rest of the share
+  // went back at the end.
+  EXPECT_EQ(claim->spent, 1025);
+  EXPECT_EQ(claim->claimed, 1025);
+}
+
+TEST_F(FrontTest, ARequestBeyondTheBudgetIsRefusedAndDoesNotRun) {
+  UseAsEngines();
+  PutConfig(2, 500);
+  Caller* caller = RunOne(Request("report", "id-1"));
+  EXPECT_EQ(caller->status(), 402);
+  EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
+}
+
+TEST_F(FrontTest, ANonRepeatableRequestRunsOnceWhenItsAnswerIsLost) {
+  a_.habits().silent = true;
+  b_.habits().silent = true;
+  Caller* caller = RunOne(Request("fee", "id-1"));
+  EXPECT_EQ(caller->status(), 504);
+  EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
+}
+
+TEST_F(FrontTest, ASafeRequestGoesToAnotherEndpointWhenOneIsSilent) {
+  a_.habits().silent = true;
+  Caller* first = nullptr;
+  std::vector<Caller*> all;
+  Run([&] {
+    for (int i = 0; i < 8; ++i) {
+      all.push_back(Send(Request("safe", absl::StrCat("id-", i))));
+    }
+    Await(
+        [&] {
+          return std::all_of(all.begin(), all.end(),
+                             [](Caller* it) { return it->over(); });
+        },
+        [] { Stop(); });
+  });
+  EXPECT_EQ(first, nullptr);
+  for (Caller* it : all) {
+    EXPECT_EQ(it->status(), 200);
+  }
+  EXPECT_FALSE(a_.ran().empty());
+}
+
+TEST_F(FrontTest, ARefusalIsPassedOnAsNotRun) {
+  a_.habits().refuse = true;
+  b_.habits().refuse = true;
+  Caller* caller = RunOne(Request("fee", "id-1"));
+  EXPECT_EQ(caller->status(), 503);
+  EXPECT_EQ(caller->answer().fields().Count("Retry-After"), 1U);
+  EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
+}
+
+TEST_F(FrontTest, AnAnswerWithoutSignatureIsNotPassedOn) {
+  a_.habits().unsigned_answer = true;
+  b_.habits().unsigned_answer = true;
+  Caller* caller = RunOne(Request("fee", "id-1"));
+  EXPECT_EQ(caller->status(), 502);
+  EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
+}
+
+TEST_F(FrontTest, AResumableStreamGoesOnAtAnotherEndpoint) {
+  UseAsEngines();
+  for (StandInEndpoint* it : {&a_, &b_}) {
+    it->habits().break_after = 2;
+  }
+  Caller* caller = nullptr;
+  Run([&] {
+    caller = Send(Request("ask", "id-1"));
+    Await([&] { return !a_.ran().empty() || !b_.ran().empty(); },
+          [&] {
+            (a_.ran().empty() ? a_ : b_).habits().break_after = -1;
+            AwaitOver(caller, [] { Stop(); });
+          });
+  });
+  ASSERT_TRUE(caller->whole());
+  EXPECT_EQ(caller->answer().body(),
+            "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
+            "id: 4\ndata: x\n\nid: 5\ndata: x\n\n");
+}
+
+TEST_F(FrontTest, AStreamThatMayNotBeResumedDoesNotLookWhole) {
+  UseAsEngines();
+  for (StandInEndpoint* it : {&a_, &b_}) {
+    it->habits().break_after = 2;
+  }
+  Caller* caller = RunOne(Request("report", "id-1"));
+  EXPECT_FALSE(caller->whole());
+  EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
+}
+
+TEST_F(FrontTest, WorkEndsSoonAfterTheCallerHasLeft) {
+  UseAsEngines();
+  for (StandInEndpoint* it : {&a_, &b_}) {
+    it->habits().events = 100000;
+  }
+  Run([&] {
+    Caller* caller = Send(Request("report", "id-1"));
+    Await([caller] { return caller->status() == 200; },
+          [&, caller] {
+            caller->Leave();
+            Await([&] { return a_.abandoned() + b_.abandoned() > 0; },
+                  [] { Stop(); });
+          });
+  });
+  EXPECT_EQ(a_.abandoned() + b_.abandoned(), 1);
+}
+
+TEST_F(FrontTest, ALeavingEndpointGetsNothingNew) {
+  PutEndpoint(a_, "app", 2, true);
+  std::vector<Caller*> all;
+  Run([&] {
+    for (int i = 0; i < 10; ++i) {
+      all.push_back(Send(Request("fee", absl::StrCat("id-", i))));
+    }
+    Await(
+        [&] {
+          return std::all_of(all.begin(), all.end(),
+                             [](Caller* it) { return it->over(); });
+        },
+        [] { Stop(); });
+  });
+  EXPECT_TRUE(a_.ran().empty());
+  EXPECT_EQ(b_.ran().size(), 10U);
+}
+
+TEST_F(FrontTest, AnAddressUsedAgainRunsNothingOfItsOldService) {
+  // The directory still names "a" at the address where "b" listens now.
+  json stale = json::parse(b_.Entry("app", 5, false));
+  store_.Put(platform::kEndpointTopic, "a", stale.dump());
+  store_.Put(platform::kEndpointTopic, "b", "");
+  Caller* caller = RunOne(Request("fee", "id-1"));
+  EXPECT_EQ(caller->status(), 503);
+  EXPECT_TRUE(b_.ran().empty());
+}
+
+TEST_F(FrontTest, ForgedEntriesNameNoEndpoint) {
+  store_.Put(platform::kEndpointTopic, "c", "{\"service\":\"app\"}");
+  store_.Put(platform::kEndpointTopic, "d", "\xff\x01");
+  store_.Put(platform::kEndpointTopic, "e",
+             "{\"service\":\"app\",\"address\":5,\"zone\":\"z\"}");
+  Caller* caller = RunOne(Request("fee", "id-1"));
+  EXPECT_EQ(caller->status(), 200);
+}
+
+TEST_F(FrontTest, ServesOnWhileTheStoreIsDownAndAfterItForgot) {
+  UseAsEngines();
+  Caller* during = nullptr;
+  Caller* after = nullptr;
+  Run([&] {
+    store_.faults().silent = true;
+    during = Send(Request("report", "id-1"));
+    AwaitOver(during, [&] {
+      store_.faults().silent = false;
+      store_.Compact(platform::kEndpointTopic);
+      store_.Compact(platform::kOperatorTopic);
+      store_.Compact(platform::kBudgetTopic);
+      PutConfig(7, 1000000);
+      after = Send(Request("report", "id-2"));
+      AwaitOver(after, [] { Stop(); });
+    });
+  });
+  EXPECT_EQ(during->status(), 200);
+  EXPECT_EQ(after->status(), 200);
+}
+
+TEST_F(FrontTest, ALostAnswerOfTheStoreClaimsNothingTwice) {
+  UseAsEngines();
+  Run([&] {
+    store_.faults().lose_appends = true;
+    loop_.After(Millis(1500), [this] {
+      store_.faults().lose_appends = false;
+      Caller* caller = Send(Request("report", "id-1"));
+      AwaitOver(caller, [caller] {
+        EXPECT_EQ(caller->status(), 200);
+        Stop();
+      });
+    });
+  });
+  const auto claim = DecodeBudgetClaim(
+      "node-1/cedar", store_.Newest(platform::kBudgetTopic, "node-1/cedar"));
+  ASSERT_TRUE(claim);
+  EXPECT_EQ(claim->spent, 1025);
+  EXPECT_EQ(claim->claimed, 1025);
+}
+
+TEST_F(FrontTest, AGracefulStopCutsNothing) {
+  UseAsEngines();
+  for (StandInEndpoint* it : {&a_, &b_}) {
+    it->habits().events = 50;
+    it->habits().event_pause = Millis(10);
+  }
+  Caller* caller = nullptr;
+  Run([&] {
+    caller = Send(Request("report", "id-1"));
+    Await([&] { return caller->status() == 200; }, [] { Stop(); });
+  });
+  ASSERT_TRUE(caller->whole());
+  EXPECT_EQ(caller->answer().fields().Find("X-Request-Id"), "id-1");
+}
+
+TEST_F(FrontTest, NoConfigurationMeansNotReadyAndNotRun) {
+  StandInStore empty(&loop_);
+  settings_.store_address = empty.address();
+  platform::Front front("no-settings-file", settings_);
+  Caller* caller = nullptr;
+  loop_.After(Millis(100), [&] {
+    caller = Send(Request("fee", "id-1"));
+    AwaitOver(caller, [] { Stop(); });
+  });
+  EXPECT_TRUE(front.Run().ok());
+  EXPECT_EQ(caller->status(), 503);
+}
+
+}  // namespace
+}  // namespace tamaracktrail
--- /dev/null
+++ b/tests/support/loopback.h
@@ -0,0 +1,17 @@
+#ifndef TESTS_SUPPORT_LOOPBACK_H_
+#define TESTS_SUPPORT_LOOPBACK_H_
+
+#include <string>
+#include <utility>
+
+namespace tamaracktrail {
+
+//! A listening descriptor on a free port of 127.0.0.1, with its address.
+std::pair<int, std::string> ListenOnFreePort();
+
+//! An address of 127.0.0.1 whose port is free at this moment.
+std::string FreeAddress();
+
+}  // namespace tamaracktrail
+
+#endif  // TESTS_SUPPORT_LOOPBACK_H_
