--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -78,10 +78,10 @@
   int instances = 1;
   std::map<std::string, RetryBudget> retries;
   std::set<RelayTask*> waiting;
-  //! While the process ends: no new streams and no new calls after these; 0 for
-  //! no end in sight.
+  //! While the process ends: no new streams after the first, and no answer
+  //! after the second; 0 for no end in sight.
   Millis last_stream_at;
-  Millis last_call_at;
+  Millis ends_at;
   //! Whether shares can grow: false while the log cannot be reached.
   std::function<bool()> shares_can_grow = [] { return true; };
   //! Called when a request is short of a share.
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -125,10 +125,7 @@
     Fail(401, "Unauthorized", "unknown_key");
     return false;
   }
-  const Millis last = route_->kind == CallKind::kStream
-                          ? context_->last_stream_at
-                          : context_->last_call_at;
-  if (last > Millis(0) && context_->loop->Now() > last) {
+  if (context_->ends_at > Millis(0) && !FitsBeforeEnd()) {
     Refuse("draining", kLeastRetryAfter);
     return false;
   }
@@ -142,6 +139,13 @@
   return AdmitSize();
 }
 
+bool RelayTask::FitsBeforeEnd() const {
+  const Millis now = context_->loop->Now();
+  return route_->kind == CallKind::kStream
+             ? now <= context_->last_stream_at
+             : now + route_->timeout <= context_->ends_at;
+}
+
 bool RelayTask::FindOrganisation() {
   rank_ = route_->priority;
   if (!config_->has_organisations()) {
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -57,6 +57,8 @@
  private:
   // Admission.
   bool Admit();
+  //! Whether the answer can be whole before this process ends.
+  bool FitsBeforeEnd() const;
   bool FindOrganisation();
   bool AdmitSize();
   void ReserveOrWait();
