--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -17,7 +17,11 @@
 //! Part of its fair share of what is left that an instance holds at most. A
 //! power loss of all instances strands what they hold, and an organisation near
 //! its end must not lose all of the rest by it.
-constexpr double kFairPart = 0.5;
+constexpr double kRichFairPart = 0.5;
+constexpr double kPoorFairPart = 0.15;
+//! Parts of the budget that are left where the one ends and the other begins.
+constexpr double kRichLeft = 0.6;
+constexpr double kPoorLeft = 0.25;
 
 //! Part of what is left that all instances together hold without demand, so
 //! that the first requests of an organisation need not wait for the log.
@@ -240,7 +244,11 @@
       left * (own + even) / (all + even * static_cast<double>(instances_));
   double wanted = DemandRate(now, account) * kCoverSeconds;
   wanted = std::max(wanted, left * kIdlePart / instances_);
-  wanted = std::min(wanted, fair * kFairPart);
+  const double wealth = std::clamp(
+      (left / std::max(1.0, prepaid) - kPoorLeft) / (kRichLeft - kPoorLeft),
+      0.0, 1.0);
+  wanted = std::min(wanted, fair * (kPoorFairPart +
+                                    wealth * (kRichFairPart - kPoorFairPart)));
   if (wanted < account.usual) {
     // Too little for one request: what is left is drawn request by request.
     wanted = 0;
