--- /dev/null
+++ b/tests/platform/decoder_test.cpp
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "platform/config_decoder.h"
+#include "platform/endpoint_decoder.h"
+#include "platform/store_record.h"
+#include "platform/wire_names.h"
+#include "protocol/http_fields.h"
+#include "state/routing_config.h"
+
+namespace tamaracktrail::platform {
+namespace {
+
+constexpr char kConfig[] = R"({"version":7,"routes":[
+  {"name":"r1","host":"H.example","path_prefix":"/a/","kind":"streaming",
+   "timeout_ms":15000,"target_latency_ms":800,"priority":1,
+   "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+   "max_attempts":1,"session_affinity":true,"target_gap_ms":300},
+  {"name":"r2","host":"H.example","path_prefix":"/a/b/","kind":"safe",
+   "timeout_ms":600,"target_latency_ms":100,"service":"s2","max_attempts":2,
+   "public":true}],
+  "services":[{"name":"s1","connection_limit":370,
+    "engine":{"slots":64,"kv_token_bytes":163840,"link_mbps":180000.0,
+              "stride":5}},{"name":"s2","connection_limit":110}],
+  "limits":{"max_header_bytes":100,"max_body_bytes":200,
+            "header_timeout_ms":3000,"idle_timeout_ms":15000},
+  "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"prepaid":5000}]})";
+
+TEST(ConfigDecoderTest, ReadsRoutesServicesAndOrganisations) {
+  const auto config = DecodeConfig(kConfig);
+  ASSERT_TRUE(config.ok()) << config.status();
+  EXPECT_EQ((*config)->version(), 7);
+  const Route* route = (*config)->FindRoute("h.example:80", "/a/x?y=/a/b/");
+  ASSERT_NE(route, nullptr);
+  EXPECT_EQ(route->name, "r1");
+  EXPECT_EQ(route->split.size(), 2U);
+  EXPECT_EQ(route->patience, Millis(3200));
+  EXPECT_FALSE(route->repeatable());
+  EXPECT_EQ((*config)->FindRoute("h.example", "/a/b/c")->name, "r2");
+  EXPECT_EQ((*config)->FindRoute("h.example", "/b/"), nullptr);
+  EXPECT_EQ((*config)->FindRoute("other", "/a/"), nullptr);
+  EXPECT_EQ((*config)->FindService("s1")->event_tokens, 5);
+  EXPECT_TRUE((*config)->FindService("s1")->generates);
+  EXPECT_FALSE((*config)->FindService("s2")->generates);
+  EXPECT_EQ((*config)->FindByKey("k2")->prepaid, 5000);
+  EXPECT_EQ((*config)->FindByKey("k3"), nullptr);
+  EXPECT_EQ((*config)->limits().max_body_bytes, 200U);
+}
+
+TEST(ConfigDecoderTest, RefusesDamage) {
+  EXPECT_FALSE(DecodeConfig("").ok());
+  EXPECT_FALSE(DecodeConfig("{}").ok());
+  EXPECT_FALSE(DecodeConfig("{\"version\":1,\"routes\":[{}]}").ok());
+}
+
+struct EntryCase {
+  const char* name;
+  const char* text;
+  bool ok;
+};
+
+class EndpointDecoderTest : public testing::TestWithParam<EntryCase> {};
+
+TEST_P(EndpointDecoderTest, TakesOnlyWholeEntries) {
+  EXPECT_EQ(DecodeEndpoint("i", GetParam().text).ok(), GetParam().ok);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndpointDecoderTest,
+    testing::Values(
+        EntryCase{"whole",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9})",
+                  true},
+        EntryCase{"unknown_fields",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z","x":{},
+                      "slots":64,"state":"draining","sequence":4,"born":9})",
+                  true},
+        EntryCase{"unknown_state",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"asleep","sequence":4,"born":9})",
+                  false},
+        EntryCase{"no_address",
+                  R"({"service":"s","zone":"z","slots":64,"state":"ready",
+                      "sequence":4,"born":9})",
+                  false},
+        EntryCase{"bad_address",
+                  R"({"service":"s","address":"nowhere","zone":"z","slots":64,
+                      "state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"text_as_number",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":"64","state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"start_is_no_whole_number",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9.5})",
+                  false},
+        EntryCase{"half", R"({"service":"s","addr)", false},
+        EntryCase{"no_object", "[1]", false}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(StoreRecordTest, RecordsKeepTheirKeysAndValues) {
+  const std::string bytes = EncodeRecords({{"k", "v"}, {"gone", ""}});
+  const auto batch = DecodeBatch(std::string(15, '\0') + '\2' + bytes);
+  ASSERT_TRUE(batch.ok());
+  EXPECT_EQ(batch->first_offset, 2);
+  EXPECT_EQ(batch->records,
+            (std::vector<StoreRecord>{{"k", "v"}, {"gone", ""}}));
+  EXPECT_FALSE(DecodeBatch("short").ok());
+  EXPECT_FALSE(DecodeBatch(std::string(16, '\0') + bytes.substr(1)).ok());
+}
+
+TEST(WireNamesTest, ReadsThePromptOfARequest) {
+  const CallDialect dialect = MakeCallDialect();
+  HttpFields fields;
+  EXPECT_FALSE(dialect.read_prompt(fields));
+  fields.Add("x-token-usage", "1460,80");
+  fields.Add("X-Prompt-Prefix", "5c:800,91:410,e4:250");
+  const auto prompt = dialect.read_prompt(fields);
+  ASSERT_TRUE(prompt);
+  EXPECT_EQ(prompt->most_tokens(), 1540);
+  ASSERT_EQ(prompt->parts.size(), 3U);
+  EXPECT_EQ(prompt->parts[1], (PromptPart{"91", 410}));
+}
+
+}  // namespace
+}  // namespace tamaracktrail::platform
