--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -30,7 +30,7 @@
 //! pause between two appends, several times over.
 constexpr Millis kShareWait{700};
 //! Part of its objective that it waits at most.
-constexpr double kShareWaitPart = 0.75;
+constexpr double kShareWaitPart = 0.15;
 //! Looks at the log that it waits for. The first may have begun before the
 //! request came; the second has heard of it.
 constexpr int kShareLooks = 2;
