--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -26,10 +26,10 @@
 //! it still has to reach the caller.
 constexpr Millis kEndMargin{20};
 
-//! A request waits for a share this long at most: two turns of the log and the
-//! pause between two appends, several times over.
-constexpr Millis kShareWait{700};
-//! Part of its objective that it waits at most.
+//! A request waits for a share this long at most, and for at most this part of
+//! its objective: a look at the log takes some 10 ms, and a caller who is held
+//! longer has less time to come back.
+constexpr Millis kShareWait{200};
 constexpr double kShareWaitPart = 0.15;
 //! Looks at the log that it waits for. The first may have begun before the
 //! request came; the second has heard of it.
