--- /dev/null
+++ b/src/transport/peer_exchange.cpp
@@ -0,0 +1,103 @@
+#include "transport/peer_exchange.h"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+#include <sstream>
+
+#include "transport/event_loop.h"
+#include "transport/log_line.h"
+#include "transport/relay/caller_request.h"
+#include "transport/relay/http_fetch.h"
+#include "transport/relay/simple_task.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+constexpr char kConfigPath[] = "/config";
+constexpr char kEndpointsPath[] = "/endpoints";
+
+//! Peers that ask at the same time; all others of a data centre may.
+constexpr int kMaxConnections = 256;
+
+//! A peer in the same region answers within milliseconds.
+constexpr Millis kAskTimeout{700};
+
+std::string Encode(const PeerExchange::Records& records) {
+  std::ostringstream out;
+  cereal::PortableBinaryOutputArchive archive(out);
+  archive(records);
+  return out.str();
+}
+
+}  // namespace
+
+PeerExchange::PeerExchange(EventLoop* loop,
+                           EventLog* log,
+                           Metrics* metrics,
+                           int fd,
+                           Hooks hooks)
+    : loop_(loop),
+      log_(log),
+      hooks_(std::move(hooks)),
+      pool_(loop, [](uint64_t) {}),
+      server_(std::make_unique<RelayServer>(
+          loop,
+          fd,
+          kMaxConnections,
+          [this](CallerConnection* connection, const CallerRequest& request) {
+            const bool config = request.target == kConfigPath;
+            const bool known = config || request.target == kEndpointsPath;
+            const Records records = !known   ? Records()
+                                    : config ? hooks_.config()
+                                             : hooks_.endpoints();
+            return std::make_unique<SimpleTask>(
+                connection, records.empty() ? 404 : 200, Encode(records));
+          },
+          metrics)) {}
+
+PeerExchange::~PeerExchange() = default;
+
+void PeerExchange::AskConfig(const std::string& peer) {
+  Ask(peer, kConfigPath, &config_fetch_, hooks_.on_config);
+}
+
+void PeerExchange::AskEndpoints(const std::string& peer) {
+  Ask(peer, kEndpointsPath, &endpoint_fetch_, hooks_.on_endpoints);
+}
+
+void PeerExchange::Ask(const std::string& peer,
+                       const char* path,
+                       std::unique_ptr<HttpFetch>* fetch,
+                       const std::function<void(const Records&)>& apply) {
+  if (*fetch != nullptr) {
+    return;
+  }
+  *fetch = std::make_unique<HttpFetch>(
+      loop_, &pool_, peer, "GET", path, "", kAskTimeout,
+      [this, peer, path, fetch, apply](absl::StatusOr<HttpFetch::Answer> got) {
+        // The fetch lives until its own callback has returned.
+        const auto done = std::move(*fetch);
+        Records records;
+        if (got.ok() && got->status == 200) {
+          try {
+            std::istringstream in(got->body);
+            cereal::PortableBinaryInputArchive archive(in);
+            archive(records);
+          } catch (const std::exception&) {
+            records.clear();
+          }
+        }
+        LogLine(log_, "peer_asked")
+            .Add("peer", peer)
+            .Add("what", path)
+            .Add("records", records.size());
+        if (!records.empty()) {
+          apply(records);
+        }
+      });
+}
+
+}  // namespace tamaracktrail
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -25,15 +25,25 @@
     uint64_t incarnation = 0;
     std::string instance;
     int64_t config_version = 0;
+    //! Since the sender's directory of endpoints was last known to be whole.
+    int64_t directory_age_ms = 0;
+    std::string address;  //!< Where the sender answers questions.
     std::vector<std::pair<uint64_t, EndpointLoad>> loads;
     //! Content and endpoint of crashes; see CrashGuard.
     std::vector<std::pair<uint64_t, uint64_t>> crashes;
 
+    //! Whether the other says the same, but for its age.
+    bool SaysTheSame(const Report& other) const {
+      return config_version == other.config_version && loads == other.loads &&
+             crashes == other.crashes;
+    }
+
     friend bool operator==(const Report&, const Report&) = default;
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(incarnation, instance, config_version, loads, crashes);
+      archive(incarnation, instance, config_version, directory_age_ms, address,
+              loads, crashes);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -152,72 +152,109 @@
   EXPECT_FALSE(view.placement_.Choose(kNow, request, 0));
 }
 
+//! A load pattern.
+struct Pattern {
+  double per_second = 0;
+  double hot_part = 0;        //!< Of requests that belong to one session.
+  bool engines_lost = false;  //!< Two of eight, midway.
+};
+
 //! Replays arrivals against engines that read prompts one after another, as
-//! seen by several instances that hear of each other's open prompts 50 ms
-//! late. Returns the part of requests whose first event is within `aim`.
-double Replay(double arrivals_per_second,
-              double hot_part,
-              bool engines_lost,
-              bool by_count) {
-  constexpr int kInstances = 6;
-  constexpr int kEngines = 8;
-  constexpr double kTokensPerMs = 65;
-  constexpr int64_t kAim = 800;
-  std::mt19937_64 random(7);
-  std::vector<std::unique_ptr<View>> views;
-  for (int i = 0; i < kInstances; ++i) {
-    views.push_back(std::make_unique<View>());
+//! seen by several instances that hear of each other's open prompts 50 ms late.
+class Replay {
+ public:
+  //! `by_count`: the baseline, which sends to the engine with the fewest
+  //! requests in the own view.
+  Replay(Pattern pattern, bool by_count)
+      : pattern_(pattern), by_count_(by_count), free_at_(kEngines, 0) {
+    for (int i = 0; i < kInstances; ++i) {
+      views_.push_back(std::make_unique<View>());
+    }
   }
-  std::vector<double> free_at(kEngines, 0);
+
+  //! Part of requests whose first event comes within the aim.
+  double Run() {
+    int good = 0;
+    for (int n = 0; n < kRequests; ++n) {
+      now_ += std::exponential_distribution<double>(pattern_.per_second /
+                                                    1000)(random_);
+      EndWork();
+      ShareLoads();
+      if (pattern_.engines_lost && n == kRequests / 2) {
+        LoseEngines();
+      }
+      good += Send() <= kAimMs ? 1 : 0;
+    }
+    return static_cast<double>(good) / kRequests;
+  }
+
+ private:
+  static constexpr int kInstances = 6;
+  static constexpr int kEngines = 8;
+  static constexpr int kRequests = 4000;
+  static constexpr double kTokensPerMs = 65;
+  static constexpr double kAimMs = 800;
+  static constexpr double kReportMs = 50;
+
   struct Running {
     double first_at;
-    int view;
+    size_t view;
     EndpointTicket ticket;
   };
-  std::vector<Running> running;
-  double now = 0;
-  double reported = 0;
-  int good = 0;
-  constexpr int kRequests = 4000;
-  for (int n = 0; n < kRequests; ++n) {
-    now += std::exponential_distribution<double>(arrivals_per_second /
-                                                 1000)(random);
-    const Millis at = kNow + Millis(static_cast<int64_t>(now));
-    std::erase_if(running, [&](Running& it) {
-      if (it.first_at > now) {
+
+  Millis At() const { return kNow + Millis(static_cast<int64_t>(now_)); }
+
+  void EndWork() {
+    std::erase_if(running_, [&](Running& it) {
+      if (it.first_at > now_) {
         return false;
       }
-      views[it.view]->board_.OnFirstByte(at, &it.ticket);
-      views[it.view]->board_.OnEnded(at, &it.ticket, EndpointOutcome::kGood);
+      EndpointBoard& board = views_[it.view]->board_;
+      board.OnFirstByte(At(), &it.ticket);
+      board.OnEnded(At(), &it.ticket, EndpointOutcome::kGood);
       return true;
     });
-    if (now - reported > 50) {
-      reported = now;
-      for (int a = 0; a < kInstances; ++a) {
-        for (int b = 0; b < kInstances; ++b) {
-          if (a != b) {
-            views[a]->board_.SetPeerLoad(at, b + 1, views[b]->board_.OwnLoad());
-          }
+  }
+
+  void ShareLoads() {
+    if (now_ - reported_ < kReportMs) {
+      return;
+    }
+    reported_ = now_;
+    for (size_t a = 0; a < views_.size(); ++a) {
+      for (size_t b = 0; b < views_.size(); ++b) {
+        if (a != b) {
+          views_[a]->board_.SetPeerLoad(At(), b + 1,
+                                        views_[b]->board_.OwnLoad());
         }
       }
     }
-    const int v = static_cast<int>(random() % kInstances);
-    const bool hot =
-        std::uniform_real_distribution<double>(0, 1)(random) < hot_part;
-    const PromptShape prompt = Prompt(
-        hot ? "hot" : absl::StrCat("s", random() % 100),
-        static_cast<int64_t>(std::min(
-            50000.0, std::lognormal_distribution<double>(8, 1)(random))));
-    if (engines_lost && n == kRequests / 2) {
-      for (const auto& view : views) {
-        view->board_.Remove(at, "e0", false);
-        view->board_.Remove(at, "e1", false);
-      }
+  }
+
+  void LoseEngines() {
+    for (const auto& view : views_) {
+      view->board_.Remove(At(), "e0", false);
+      view->board_.Remove(At(), "e1", false);
     }
-    Placement::Choice choice = views[v]->Choose(prompt, at);
-    if (by_count) {
-      // The baseline: fewest open requests by this instance's own view.
-      const auto usable = views[v]->board_.Usable(at, "llm");
+  }
+
+  PromptShape DrawPrompt() {
+    const bool hot = std::uniform_real_distribution<double>(0, 1)(random_) <
+                     pattern_.hot_part;
+    const double own =
+        std::min(50000.0, std::lognormal_distribution<double>(8, 1)(random_));
+    return Prompt(hot ? "hot" : absl::StrCat("s", random_() % 100),
+                  static_cast<int64_t>(own));
+  }
+
+  //! Time to the first event, ms.
+  double Send() {
+    const size_t v = random_() % views_.size();
+    EndpointBoard& board = views_[v]->board_;
+    const PromptShape prompt = DrawPrompt();
+    Placement::Choice choice = views_[v]->Choose(prompt, At());
+    if (by_count_) {
+      const auto usable = board.Usable(At(), "llm");
       const auto* least = *std::min_element(usable.begin(), usable.end(),
                                             [](const auto* a, const auto* b) {
                                               return a->own.open < b->own.open;
@@ -225,38 +262,45 @@
       choice.id = least->entry.id;
       choice.prompt_tokens = prompt.prompt_tokens;
     }
-    const int engine = std::stoi(choice.id.substr(1));
+    const size_t engine = std::stoul(choice.id.substr(1));
     const double first =
-        std::max(now, free_at[engine]) +
+        std::max(now_, free_at_[engine]) +
         static_cast<double>(choice.prompt_tokens) / kTokensPerMs;
-    free_at[engine] = first;
-    running.push_back(
-        {first, v,
-         views[v]->board_.OnSent(at, *views[v]->board_.Find(choice.id, 1),
-                                 choice.prompt_tokens, choice.predicted)});
-    good += first - now <= kAim ? 1 : 0;
+    free_at_[engine] = first;
+    running_.push_back({first, v,
+                        board.OnSent(At(), *board.Find(choice.id, 1),
+                                     choice.prompt_tokens, choice.predicted)});
+    return first - now_;
   }
-  return static_cast<double>(good) / kRequests;
-}
+
+  Pattern pattern_;
+  bool by_count_;
+  std::mt19937_64 random_{7};
+  std::vector<std::unique_ptr<View>> views_;
+  std::vector<double> free_at_;
+  std::vector<Running> running_;
+  double now_ = 0;
+  double reported_ = 0;
+};
 
 // Bounds are the targets: nine in ten within the aim at a load that the engines
 // can carry, and never below the baseline.
 TEST(PlacementReplayTest, SteadyLoad) {
-  const double served = Replay(55, 0, false, false);
+  const double served = Replay({55, 0, false}, false).Run();
   EXPECT_GT(served, 0.9);
-  EXPECT_GT(served, Replay(55, 0, false, true));
+  EXPECT_GT(served, Replay({55, 0, false}, true).Run());
 }
 
 TEST(PlacementReplayTest, HotSession) {
-  const double served = Replay(55, 0.4, false, false);
+  const double served = Replay({55, 0.4, false}, false).Run();
   EXPECT_GT(served, 0.9);
-  EXPECT_GT(served, Replay(55, 0.4, false, true));
+  EXPECT_GT(served, Replay({55, 0.4, false}, true).Run());
 }
 
 TEST(PlacementReplayTest, AQuarterOfTheEnginesGone) {
-  const double served = Replay(45, 0, true, false);
+  const double served = Replay({45, 0, true}, false).Run();
   EXPECT_GT(served, 0.9);
-  EXPECT_GT(served, Replay(45, 0, true, true));
+  EXPECT_GT(served, Replay({45, 0, true}, true).Run());
 }
 
 }  // namespace
