--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -12,6 +12,11 @@
 constexpr int64_t kLeastDescriptors = 64;
 constexpr int64_t kMostDescriptors = 1000000;
 
+//! What the platform's smallest store takes, over all instances.
+constexpr int64_t kDefaultReads = 2000;
+constexpr int64_t kDefaultWrites = 800;
+constexpr int64_t kMostCalls = 1000000;
+
 constexpr int64_t kLeastGraceMs = 500;
 constexpr int64_t kDefaultGraceMs = 8000;
 constexpr int64_t kMostGraceMs = 600000;
@@ -44,6 +49,10 @@
   settings.peers_address = Address(&ini, "listen", "peers");
   settings.metrics_address = Address(&ini, "listen", "metrics");
   settings.store_address = Address(&ini, "store", "address");
+  settings.store_reads = static_cast<int>(
+      ini.Integer("store", "reads_per_s", kDefaultReads, 1, kMostCalls));
+  settings.store_writes = static_cast<int>(
+      ini.Integer("store", "writes_per_s", kDefaultWrites, 1, kMostCalls));
   settings.file_descriptors = static_cast<int>(ini.Integer(
       "limits", "file_descriptors", 1024, kLeastDescriptors, kMostDescriptors));
   settings.grace = Millis(ini.Integer("limits", "grace_ms", kDefaultGraceMs,
--- a/src/cli/relay_settings.h
+++ b/src/cli/relay_settings.h
@@ -18,6 +18,8 @@
   std::string peers_address;
   std::string metrics_address;
   std::string store_address;
+  int store_reads = 2000;  //!< Calls a second, of all instances.
+  int store_writes = 800;  //!< The same for writing calls.
   int file_descriptors = 1024;
   double retry_ratio = 0.2;  //!< Retries a request, over all instances.
   double retry_extra = 0;    //!< More retries a window, over all instances.
--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -14,7 +14,7 @@
     "[instance]\nname = n-1\ndata_centre = a\n"
     "[listen]\ncallers = 10.0.0.1:80\nhealth = 10.0.0.1:81\n"
     "peers = 10.0.0.1:82\nmetrics = 10.0.0.1:83\n"
-    "[store]\naddress = 10.0.0.2:90\n"
+    "[store]\naddress = 10.0.0.2:90\nreads_per_s = 6000\n"
     "[limits]\nfile_descriptors = 4100\ngrace_ms = 8000\n"
     "[retries]\nratio = 0.2\nextra = 56\n";
 
@@ -53,6 +53,8 @@
   EXPECT_EQ(settings.instance, "n-1");
   EXPECT_EQ(settings.peers_address, "10.0.0.1:82");
   EXPECT_EQ(settings.store_address, "10.0.0.2:90");
+  EXPECT_EQ(settings.store_reads, 6000);
+  EXPECT_EQ(settings.store_writes, 800);
   EXPECT_EQ(settings.grace, Millis(8000));
   EXPECT_EQ(settings.retry_extra, 56);
 }
--- /dev/null
+++ b/tests/transport/relay_units_test.cpp
@@ -0,0 +1,269 @@
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <fcntl.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "protocol/http_reader.h"
+#include "support/loopback.h"
+#include "transport/event_log.h"
+#include "transport/event_loop.h"
+#include "transport/metrics.h"
+#include "transport/peer_exchange.h"
+#include "transport/peer_gossip.h"
+#include "transport/relay/endpoint_call.h"
+#include "transport/relay/endpoint_pool.h"
+#include "transport/relay/relay_server.h"
+#include "transport/relay/simple_task.h"
+#include "transport/socket_address.h"
+
+namespace tamaracktrail {
+namespace {
+
+TEST(EventLoopTest, RunsTimersInOrderAndSkipsCancelledOnes) {
+  EventLoop loop;
+  std::vector<int> ran;
+  loop.After(Millis(20), [&] { ran.push_back(2); });
+  loop.After(Millis(5), [&] { ran.push_back(1); });
+  EventLoop::TimerId cancelled =
+      loop.After(Millis(10), [&] { ran.push_back(9); });
+  loop.Cancel(&cancelled);
+  loop.After(Millis(30), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(ran, (std::vector<int>{1, 2}));
+}
+
+TEST(EventLogTest, NeverBlocksAndCountsWhatItDrops) {
+  EventLoop loop;
+  int fds[2];
+  ASSERT_EQ(pipe2(fds, O_NONBLOCK), 0);
+  EventLog log(&loop, fds[1]);
+  const std::string line(1000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    log.Write(line);
+  }
+  EXPECT_GT(log.dropped(), 0U);
+  std::string all;
+  std::vector<char> buf(65536);
+  for (int i = 0; i < 1000; ++i) {
+    const ssize_t n = read(fds[0], buf.data(), buf.size());
+    if (n > 0) {
+      all.append(buf.data(), static_cast<size_t>(n));
+    }
+    log.Flush();
+  }
+  EXPECT_NE(all.find(absl::StrCat("event=log_dropped lines=", log.dropped())),
+            std::string::npos);
+  close(fds[0]);
+  close(fds[1]);
+}
+
+//! Hears of one exchange.
+class Listener : public EndpointCall::Observer {
+ public:
+  explicit Listener(EventLoop* loop) : loop_(loop) {}
+
+  bool OnAnswerHead(const HttpReader& answer) override {
+    return answer.fields().Find("X-Id") == "own";
+  }
+  void OnAnswerBody(std::string* body) override {
+    body_ += *body;
+    body->clear();
+  }
+  void OnAnswerDone() override {
+    done_ = true;
+    loop_->Quit();
+  }
+  void OnCallFailed(const absl::Status& status, bool sent) override {
+    failed_ = true;
+    sent_ = sent;
+    status_ = status;
+    loop_->Quit();
+  }
+
+  EventLoop* loop_;
+  std::string body_;
+  bool done_ = false;
+  bool failed_ = false;
+  bool sent_ = false;
+  absl::Status status_;
+};
+
+//! Writes fixed bytes to whoever connects, then ends the connection.
+class RawServer : public IoHandler {
+ public:
+  RawServer(EventLoop* loop, std::string bytes)
+      : loop_(loop), bytes_(std::move(bytes)) {
+    const auto [fd, address] = ListenOnFreePort();
+    fd_ = fd;
+    address_ = address;
+    loop_->Watch(fd_, 1, this);
+  }
+  ~RawServer() override {
+    loop_->Unwatch(fd_);
+    close(fd_);
+  }
+
+  void OnReady(uint32_t) override {
+    if (peer_ < 0) {
+      peer_ = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK);
+      loop_->Watch(peer_, 1, this);
+      return;
+    }
+    std::vector<char> buf(4096);
+    if (read(peer_, buf.data(), buf.size()) > 0) {
+      EXPECT_EQ(write(peer_, bytes_.data(), bytes_.size()),
+                static_cast<ssize_t>(bytes_.size()));
+    }
+    loop_->Unwatch(peer_);
+    close(peer_);
+    loop_->Unwatch(fd_);
+  }
+
+  const std::string& address() const { return address_; }
+
+ private:
+  EventLoop* loop_;
+  std::string bytes_;
+  int fd_ = -1;
+  int peer_ = -1;
+  std::string address_;
+};
+
+struct RawAnswer {
+  const char* name;
+  const char* bytes;
+  bool done;
+  const char* body;
+  bool kept = false;
+};
+
+class EndpointCallTest : public testing::TestWithParam<RawAnswer> {};
+
+TEST_P(EndpointCallTest, TakesOnlyItsOwnWholeAnswer) {
+  EventLoop loop;
+  EndpointPool pool(&loop, [](uint64_t) {});
+  RawServer server(&loop, GetParam().bytes);
+  Listener listener(&loop);
+  EndpointCall::Options options;
+  options.endpoint = 1;
+  options.address = server.address();
+  options.connect_timeout = Millis(1000);
+  options.unacknowledged = Millis(1000);
+  options.max_idle = Millis(1000);
+  EndpointCall call(&loop, &pool, options, &listener);
+  call.Start("GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+             std::make_shared<const std::string>());
+  loop.Run();
+  EXPECT_EQ(listener.done_, GetParam().done);
+  EXPECT_NE(listener.failed_, GetParam().done);
+  EXPECT_EQ(listener.body_, GetParam().body);
+  // Only a connection that brought this answer and nothing else is kept.
+  EXPECT_EQ(pool.size(), GetParam().kept ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    EndpointCallTest,
+    testing::Values(
+        RawAnswer{"without_length", "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nabc",
+                  true, "abc"},
+        RawAnswer{"cut",
+                  "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 9\r\n\r\n"
+                  "abc",
+                  false, "abc"},
+        RawAnswer{"garbage", "no answer at all\r\n\r\n", false, ""},
+        RawAnswer{"nothing", "", false, ""},
+        RawAnswer{"foreign_first",
+                  "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\n"
+                  "noHTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 3\r\n\r\n"
+                  "yes",
+                  true, "yes"},
+        RawAnswer{"only_foreign",
+                  "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 2\r\n\r\n"
+                  "no",
+                  false, ""},
+        RawAnswer{"interim",
+                  "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n"
+                  "X-Id: own\r\nContent-Length: 2\r\n\r\nok",
+                  true, "ok", true}),
+    [](const auto& info) { return std::string(info.param.name); });
+
+TEST(EndpointCallTest, ARefusedConnectionSendsNothing) {
+  EventLoop loop;
+  EndpointPool pool(&loop, [](uint64_t) {});
+  Listener listener(&loop);
+  EndpointCall::Options options;
+  options.address = FreeAddress();
+  options.connect_timeout = Millis(1000);
+  options.unacknowledged = Millis(1000);
+  EndpointCall call(&loop, &pool, options, &listener);
+  call.Start("GET / HTTP/1.1\r\n\r\n", nullptr);
+  loop.Run();
+  EXPECT_TRUE(listener.failed_);
+  EXPECT_FALSE(listener.sent_);
+}
+
+TEST(PeerGossipTest, ReportsArriveAndDamageIsIgnored) {
+  EventLoop loop;
+  const std::string address_a = FreeAddress();
+  const std::string address_b = FreeAddress();
+  std::vector<PeerGossip::Report> heard;
+  PeerGossip a(&loop, *BindUdp(address_a), [](const auto&) {});
+  PeerGossip b(&loop, *BindUdp(address_b), [&](const auto& report) {
+    heard.push_back(report);
+    loop.Quit();
+  });
+  const int other = *BindUdp(FreeAddress());
+  const auto to = *ParseSocketAddress(address_b);
+  ASSERT_EQ(sendto(other, "junk", 4, 0, reinterpret_cast<const sockaddr*>(&to),
+                   sizeof(to)),
+            4);
+  close(other);
+  PeerGossip::Report report;
+  report.incarnation = 7;
+  report.instance = "a";
+  report.loads = {{1, {100, 2}}};
+  report.crashes = {{5, 6}};
+  a.SetPeers({address_b});
+  a.Send(report);
+  loop.After(Millis(2000), [&] { loop.Quit(); });
+  loop.Run();
+  ASSERT_EQ(heard.size(), 1U);
+  EXPECT_EQ(heard[0], report);
+}
+
+TEST(PeerExchangeTest, PassesOnWhatThePeerHas) {
+  EventLoop loop;
+  EventLog log(&loop, open("/dev/null", O_WRONLY));
+  Metrics metrics;
+  const auto [fd_a, address_a] = ListenOnFreePort();
+  const auto [fd_b, address_b] = ListenOnFreePort();
+  const PeerExchange::Records known = {{"k", "v"}};
+  PeerExchange::Records got;
+  PeerExchange a(&loop, &log, &metrics, fd_a,
+                 {[&] { return known; }, [] { return PeerExchange::Records(); },
+                  [](const auto&) {}, [](const auto&) {}});
+  PeerExchange b(&loop, &log, &metrics, fd_b,
+                 {[] { return PeerExchange::Records(); },
+                  [] { return PeerExchange::Records(); },
+                  [&](const auto& records) {
+                    got = records;
+                    loop.Quit();
+                  },
+                  [](const auto&) { ADD_FAILURE() << "nothing to pass on"; }});
+  b.AskEndpoints(address_a);
+  b.AskConfig(address_a);
+  loop.After(Millis(2000), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(got, known);
+}
+
+}  // namespace
+}  // namespace tamaracktrail
