--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -13,6 +13,7 @@
 #include "transport/metrics.h"
 #include "transport/relay/caller_connection.h"
 #include "transport/relay/relay_context.h"
+#include "transport/relay/relay_limits.h"
 #include "transport/relay/relay_task.h"
 
 namespace tamaracktrail {
@@ -23,10 +24,6 @@
 //! can be replaced.
 constexpr size_t kHeldBytes = 1024 * 1024;
 
-//! Shortest and longest wait that a refused caller is told.
-constexpr Millis kLeastRetryAfter{100};
-constexpr Millis kMostRetryAfter{3000};
-
 //! Callers honour a wait of up to a third of their time; a little less arrives.
 constexpr double kRetryAfterPart = 0.3;
 
