Run the relay's loops apart from GLib's default context

Cause: the whole unit test run ended with free(): invalid pointer. A callback that an earlier test of the libsoup client left in the default context ran in a later test of EventLoop, after what it points to was gone (seen once beside load; with the relay's own tests filtered alone it never shows, with the older ones before it always does).

--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -19,6 +19,13 @@
 //! Events taken by one call of epoll_wait; more wait for the next round.
 constexpr int kEventsPerWakeUp = 128;
 
+//! Loops of this kind run together, but apart from GLib's default context:
+//! libraries leave callbacks there that may outlive what they point to.
+GMainContext* SharedContext() {
+  static GMainContext* context = g_main_context_new();
+  return context;
+}
+
 uint64_t Tag(int fd, uint32_t generation) {
   return (static_cast<uint64_t>(generation) << 32) | static_cast<uint32_t>(fd);
 }
@@ -36,7 +43,7 @@
 };
 
 EventLoop::EventLoop()
-    : loop_(g_main_loop_new(nullptr, FALSE)),
+    : loop_(g_main_loop_new(SharedContext(), FALSE)),
       epoll_fd_(epoll_create1(EPOLL_CLOEXEC)),
       now_(MonotonicNow()) {
   static GSourceFuncs functions = {nullptr, nullptr, &Source::Run,
@@ -45,7 +52,7 @@
   source_ = g_source_new(&functions, sizeof(Source));
   reinterpret_cast<Source*>(source_)->owner = this;
   g_source_add_unix_fd(source_, epoll_fd_, G_IO_IN);
-  g_source_attach(source_, nullptr);
+  g_source_attach(source_, SharedContext());
 }
 
 EventLoop::~EventLoop() {
