Write one record for each return of a share, and none for small rests

Cause: on the grown site all 73 instances read some 1,200 budget records a second, most of them returns. A lowered claim is not read back at once, so the same return was planned and appended again every 400 ms until it was; and an idle instance returned a few tokens each time the rest of the budget had shrunk by a fifth. Ruled out: beats (73 a second) and locks (under 2 %).

Most of the records left are still raises and returns of shares that are too small for one request; next.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -38,6 +38,12 @@
 //! The same while the claims exceed the budget.
 constexpr double kGiveBackWhenShort = 1.1;
 
+//! Less than this part of what all may hold without demand is not worth a
+//! record, which all instances read. While the claims exceed the budget, others
+//! wait for the rests.
+constexpr double kLeastReturnPart = 1;
+constexpr double kLeastReturnPartWhenShort = 0.2;
+
 //! A request that still waits asks again well within this time.
 constexpr Millis kNeedLasts{300};
 
@@ -132,16 +138,17 @@
     CountPredecessor(account);
     return;
   }
-  account->logged = claim.claimed - account->base_claimed;
-  const int64_t room =
-      account->prepaid
-          ? *account->prepaid - account->others_claimed - account->base_claimed
-          : 0;
   // An older record may stand above what was given up since, and others may
   // have taken that in the meantime.
   if (claim.number == account->number) {
-    account->accepted =
-        std::max(account->accepted, std::min(account->logged, room));
+    const int64_t own = claim.claimed - account->base_claimed;
+    const int64_t room = account->prepaid
+                             ? *account->prepaid - account->others_claimed -
+                                   account->base_claimed
+                             : 0;
+    account->logged = own;
+    account->accepted = std::max(account->accepted, std::min(own, room));
+    account->undecided = false;
   }
   CHECK_GE(account->accepted, account->in_use())
       << "event=share_overspent organisation=" << claim.organisation;
@@ -232,13 +239,22 @@
   return account.demand.PerSecond(now) / (1 - std::exp(-age / kDemandSeconds));
 }
 
+double BudgetShares::Left(const Account& account) const {
+  return static_cast<double>(std::max<int64_t>(
+      0, *account.prepaid - account.others_spent - account.base_spent -
+             account.spent - account.dead() - account.others_dead));
+}
+
+double BudgetShares::LeastReturn(const Account& account) const {
+  return Left(account) * kIdlePart / instances_ *
+         (account.undrawn() < 0 ? kLeastReturnPartWhenShort : kLeastReturnPart);
+}
+
 int64_t BudgetShares::Target(Millis now, const Account& account) const {
   const auto prepaid = static_cast<double>(*account.prepaid);
   const auto own = static_cast<double>(account.base_spent + account.spent);
   const double all = own + static_cast<double>(account.others_spent);
-  const double left = std::max(
-      0.0, prepaid - all -
-               static_cast<double>(account.dead() + account.others_dead));
+  const double left = Left(account);
   const double even = kEvenPart * prepaid / instances_;
   const double fair =
       left * (own + even) / (all + even * static_cast<double>(instances_));
@@ -288,13 +304,16 @@
   const auto held = static_cast<double>(account->accepted - in_use);
   const auto wanted = static_cast<double>(target);
   int64_t claimed = account->logged;
-  const bool short_of_budget = account->undrawn() < 0;
-  if ((held < wanted * kRefillBelow ||
-       held < static_cast<double>(account->needed)) &&
-      account->undrawn() > 0) {
+  const double give_back_above =
+      wanted * (account->undrawn() < 0 ? kGiveBackWhenShort : kGiveBackAbove);
+  if (account->undecided) {
+    // Nothing is known of what was asked for; asking again would not help.
+  } else if ((held < wanted * kRefillBelow ||
+              held < static_cast<double>(account->needed)) &&
+             account->undrawn() > 0) {
     claimed = std::max(account->logged, in_use + target);
-  } else if (held > wanted * (short_of_budget ? kGiveBackWhenShort
-                                              : kGiveBackAbove) ||
+  } else if ((held > give_back_above &&
+              held - wanted > LeastReturn(*account)) ||
              account->logged > account->accepted) {
     // Spending stops before the log hears of it.
     account->accepted = std::min(account->accepted, in_use + target);
@@ -366,6 +385,7 @@
   in_flight_ = true;
   for (const BudgetClaim& it : batch->claims) {
     Account& account = accounts_.at(it.organisation);
+    account.next_logged = it.claimed - account.base_claimed;
     account.next_locked = it.locked - account.base_claimed;
   }
 }
@@ -377,6 +397,9 @@
   for (auto& [name, account] : accounts_) {
     if (account.next_locked) {
       account.locked = *std::exchange(account.next_locked, std::nullopt);
+      const int64_t logged = *std::exchange(account.next_logged, std::nullopt);
+      account.undecided = account.undecided || logged > account.logged;
+      account.logged = logged;
     }
   }
 }
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -107,11 +107,14 @@
     int64_t base_claimed = 0;
     int64_t base_spent = 0;
     // Own tokens, without the base.
-    uint64_t number = 0;   //!< Of the newest own record that was planned.
-    int64_t logged = 0;    //!< Own claim on the log.
-    int64_t accepted = 0;  //!< What was granted, spent included.
-    int64_t locked = 0;    //!< Limit of the newest lock that the log has.
-    std::optional<int64_t> next_locked;  //!< Of a batch on its way.
+    uint64_t number = 0;     //!< Of the newest own record that was planned.
+    int64_t logged = 0;      //!< Own claim that was appended last.
+    bool undecided = false;  //!< The log's order still decides on a raise.
+    int64_t accepted = 0;    //!< What was granted, spent included.
+    int64_t locked = 0;      //!< Limit of the newest lock that the log has.
+    //! Of a batch on its way.
+    std::optional<int64_t> next_logged;
+    std::optional<int64_t> next_locked;
     int64_t spent = 0;
     int64_t reserved = 0;
     int64_t needed = 0;  //!< Largest reservation that was too large.
@@ -129,8 +132,10 @@
 
   int64_t AvailableIn(Millis now, const Account& account) const;
   double DemandRate(Millis now, const Account& account) const;
+  double Left(const Account& account) const;
   int64_t Target(Millis now, const Account& account) const;
   int64_t LockTarget(Millis now, const Account& account) const;
+  double LeastReturn(const Account& account) const;
   void ApplyOwn(Account* account, const BudgetClaim& claim);
   void CountPredecessor(Account* account);
   std::optional<BudgetClaim> PlanAccount(Millis now,
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -168,6 +168,57 @@
             kTotal);
 }
 
+TEST(BudgetSharesTest, ALoweredClaimIsAppendedOnceWhileItIsNotReadBack) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  holder.shares().SetInstances(50);
+  holder.shares().Reserve(Millis(1000), kName, 50000);
+  holder.Draw(Millis(1010));
+  // Nothing came of the demand: most of the share goes back.
+  ASSERT_TRUE(holder.Plan(Millis(2000)));
+  ASSERT_EQ(holder.batch().claims.size(), 1U);
+  holder.Land();
+  for (int ms = 2400; ms < 10000; ms += 400) {
+    if (holder.Plan(Millis(ms))) {
+      EXPECT_TRUE(holder.batch().claims.empty()) << "at " << ms;
+      holder.Land();
+    }
+  }
+}
+
+TEST(BudgetSharesTest, AnIdleInstanceRarelyWritesWhileOthersSpend) {
+  // The pattern of many instances, of which few serve an organisation: as the
+  // budget runs down, each of the idle ones has less and less to hold.
+  FakeTopic topic;
+  constexpr int64_t kPrepaid = 100000000;
+  constexpr int kInstances = 70;
+  Holder busy(&topic, "busy", 1, Millis(1000), "boot-1");
+  Holder idle(&topic, "idle", 2, Millis(1000), "boot-2");
+  for (Holder* it : {&busy, &idle}) {
+    it->shares().SetBudgets(Prepaid(kPrepaid));
+    it->shares().SetInstances(kInstances);
+  }
+  size_t records = 0;
+  int64_t spent = 0;
+  for (int ms = 1000; spent < kPrepaid * 19 / 20; ms += 100) {
+    const int64_t tokens = std::min<int64_t>(kPrepaid / 1000, kPrepaid - spent);
+    if (busy.shares().Reserve(Millis(ms), kName, tokens) ==
+        BudgetShares::Verdict::kGranted) {
+      busy.shares().Settle(kName, tokens, tokens);
+      spent += tokens;
+    }
+    busy.Draw(Millis(ms));
+    if (idle.Plan(Millis(ms))) {
+      records += idle.batch().claims.size();
+      idle.Land();
+    }
+    idle.Read(Millis(ms));
+  }
+  // The first claim, and one return each time what is left has halved.
+  EXPECT_LE(records, 6U);
+}
+
 TEST(BudgetSharesTest, SuccessorCountsOnlyTheLockedPartWithinTheLockTime) {
   FakeTopic topic;
   Holder first(&topic, "a", 1, Millis(1000), "boot");
