Send callers elsewhere while an instance cannot draw shares

An instance whose log is lost and that refuses more than half of what needs a share is not ready until it follows the log again, and its refusals end their connections.

--- a/src/transport/relay/answer_head.h
+++ b/src/transport/relay/answer_head.h
@@ -15,6 +15,7 @@
   std::string reason;
   HttpFields fields;
   std::optional<uint64_t> length;  //!< Of the body; none: sent in chunks.
+  bool last = false;  //!< The caller is to connect anew for its next request.
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -135,7 +135,7 @@
   CHECK(phase_ == Phase::kServing && !answer_begun_) << "event=second_answer";
   answer_begun_ = true;
   chunked_ = !head.length.has_value();
-  close_after_ = !keep_alive_ || server_->draining();
+  close_after_ = !keep_alive_ || head.last || server_->draining();
   std::string text =
       absl::StrCat("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
   for (const HttpField& it : head.fields.all()) {
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "coordination/placement.h"
 #include "coordination/prefix_memory.h"
 #include "coordination/retry_budget.h"
+#include "coordination/share_outage.h"
 #include "protocol/call_dialect.h"
 #include "state/millis.h"
 #include "transport/relay/endpoint_pool.h"
@@ -72,6 +73,7 @@
   PrefixMemory memory;
   Placement placement;
   BudgetShares shares;
+  ShareOutage outage;
   CrashGuard crashes;
   EndpointPool pool;
   std::mt19937_64 random;
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -113,6 +113,7 @@
   }
   if (verdict == BudgetShares::Verdict::kGranted) {
     reserved_ = most;
+    context_->outage.OnGranted(now);
   }
   context_->waiting.erase(this);
   context_->loop->Cancel(&share_timer_);
@@ -135,6 +136,7 @@
     Fail(402, "Payment Required", "budget_exhausted");
     return;
   }
+  context_->outage.OnRefused(context_->loop->Now());
   Refuse("no_share", kNoShareWait);
 }
 
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -187,6 +187,7 @@
   if (!request_id_.empty()) {
     head.fields.Add(context_->dialect.request_id, request_id_);
   }
+  head.last = context_->outage.active();
   LogEnd(503, "refused", reason);
   connection_->Answer(head, "");
 }
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "cli/relay_settings.h"
 #include "platform/wire_names.h"
 #include "protocol/http_reader.h"
@@ -172,11 +173,19 @@
   }
 
   Caller* Send(const std::string& request) {
-    callers_.push_back(
-        std::make_unique<Caller>(&loop_, settings_.callers_address, request));
+    return SendTo(settings_.callers_address, request);
+  }
+
+  Caller* SendTo(const std::string& address, const std::string& request) {
+    callers_.push_back(std::make_unique<Caller>(&loop_, address, request));
     return callers_.back().get();
   }
 
+  static std::string ReadinessRequest() {
+    return absl::StrCat("GET ", platform::kReadinessPath,
+                        " HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+
   //! Runs the instance; `script` runs once it is ready.
   void Run(const std::function<void()>& script) {
     platform::Front front("no-settings-file", settings_);
@@ -189,10 +198,8 @@
   }
 
   void WhenReady(const std::function<void()>& script) {
-    auto probe =
-        std::make_shared<Caller>(&loop_, settings_.health_address,
-                                 absl::StrCat("GET ", platform::kReadinessPath,
-                                              " HTTP/1.1\r\nHost: x\r\n\r\n"));
+    auto probe = std::make_shared<Caller>(&loop_, settings_.health_address,
+                                          ReadinessRequest());
     Await([probe] { return probe->over(); },
           [this, probe, script] {
             if (probe->status() == 200) {
@@ -504,6 +511,49 @@
   EXPECT_EQ(after->status(), 200);
 }
 
+TEST_F(FrontTest, SendsCallersElsewhereWhileItCannotDrawShares) {
+  UseAsEngines();
+  Caller* refused = nullptr;
+  Caller* probe = nullptr;
+  const auto ready = [&](int status, const std::function<void()>& then) {
+    // The platform asks again and again.
+    auto ask = std::make_shared<std::function<void()>>();
+    *ask = [&, status, then, ask] {
+      probe = SendTo(settings_.health_address, ReadinessRequest());
+      AwaitOver(probe, [&, status, then, ask] {
+        if (probe->status() == status) {
+          then();
+        } else {
+          loop_.After(Millis(50), *ask);
+        }
+      });
+    };
+    (*ask)();
+  };
+  // Larger than any share that is held without demand.
+  const std::string large = absl::StrReplaceAll(Request("report", "id-1"),
+                                                {{"1000,100", "30000,100"}});
+  std::function<void()> insist = [&] {
+    refused = Send(large);
+    AwaitOver(refused, [&] {
+      if (refused->answer().fields().Find("Connection") != "close") {
+        loop_.After(Millis(50), insist);
+        return;
+      }
+      ready(503, [&] {
+        store_.faults().silent = false;
+        ready(200, [] { Stop(); });
+      });
+    });
+  };
+  Run([&] {
+    store_.faults().silent = true;
+    insist();
+  });
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
+}
+
 TEST_F(FrontTest, ALostAnswerOfTheStoreClaimsNothingTwice) {
   UseAsEngines();
   Caller* caller = nullptr;
