Log what a refusal for want of a share was decided on

Cause: the log named the refusal and not its inputs, so that "too little held" could not be told from "held but locked" or "the budget is all drawn". A line share_short now has what was asked for, what was available, held and undrawn, and the age of the log.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -410,10 +410,17 @@
   });
 }
 
-int64_t BudgetShares::Available(Millis now,
-                                const std::string& organisation) const {
+BudgetShares::View BudgetShares::Look(Millis now,
+                                      const std::string& organisation) const {
+  View view;
   const auto it = accounts_.find(organisation);
-  return it == accounts_.end() ? 0 : AvailableIn(now, it->second);
+  if (it != accounts_.end() && it->second.prepaid) {
+    view.available = AvailableIn(now, it->second);
+    view.held = it->second.accepted - it->second.in_use();
+    view.undrawn = it->second.undrawn();
+    view.log_age = now - synced_;
+  }
+  return view;
 }
 
 int64_t BudgetShares::Claimed(const std::string& organisation) const {
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -43,6 +43,14 @@
     std::string boot;          //!< Of this machine.
   };
 
+  //! What decides on a request, for the log. All in tokens.
+  struct View {
+    int64_t available = 0;  //!< May be spent now.
+    int64_t held = 0;       //!< Granted and not in use, locked away or not.
+    int64_t undrawn = 0;    //!< Nobody's yet, as far as is known here.
+    Millis log_age;         //!< Since the last look at the log.
+  };
+
   explicit BudgetShares(Identity self);
 
   //! No predecessor of this name is alive at `now`, time since boot.
@@ -88,8 +96,8 @@
   //! Whether a request was short of a share a moment ago.
   bool HasWaiting(Millis now) const;
 
-  //! Tokens that may be spent now; 0 for an unknown organisation.
-  int64_t Available(Millis now, const std::string& organisation) const;
+  //! All 0 for an organisation without a budget.
+  View Look(Millis now, const std::string& organisation) const;
   //! Sum of all known claims.
   int64_t Claimed(const std::string& organisation) const;
 
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -136,7 +136,19 @@
     Fail(402, "Payment Required", "budget_exhausted");
     return;
   }
-  context_->outage.OnRefused(context_->loop->Now());
+  const Millis now = context_->loop->Now();
+  context_->outage.OnRefused(now);
+  const BudgetShares::View view =
+      context_->shares.Look(now, organisation_->name);
+  LogLine(context_->log, "share_short")
+      .Add("id", request_id_)
+      .Add("organisation", organisation_->name)
+      .Add("asked", most)
+      .Add("available", view.available)
+      .Add("held", view.held)
+      .Add("undrawn", view.undrawn)
+      .Add("log_age_ms", view.log_age)
+      .Add("lost", context_->shares_can_grow() ? 0 : 1);
   Refuse("no_share", kNoShareWait);
 }
 
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -263,8 +263,9 @@
       .Add("organisation", organisation_->name)
       .Add("reserved", reserved_)
       .Add("spent", spent)
-      .Add("left_in_share", context_->shares.Available(context_->loop->Now(),
-                                                       organisation_->name));
+      .Add("left_in_share",
+           context_->shares.Look(context_->loop->Now(), organisation_->name)
+               .available);
   context_->shares.Settle(organisation_->name, reserved_, spent);
   reserved_ = 0;
 }
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -163,8 +163,8 @@
   b.shares().Reserve(Millis(61001), kName, 90000);
   b.Draw(Millis(61002));
   a.Read(Millis(61003));
-  EXPECT_LE(a.shares().Available(Millis(190000), kName) +
-                b.shares().Available(Millis(190000), kName),
+  EXPECT_LE(a.shares().Look(Millis(190000), kName).available +
+                b.shares().Look(Millis(190000), kName).available,
             kTotal);
 }
 
@@ -244,7 +244,7 @@
   holder.shares().Reserve(Millis(1000), kName, 10000);
   holder.Draw(Millis(1001));
   holder.shares().SetBudgets(Prepaid(500));
-  EXPECT_EQ(holder.shares().Available(Millis(1002), kName), 0);
+  EXPECT_EQ(holder.shares().Look(Millis(1002), kName).available, 0);
   EXPECT_EQ(holder.shares().Reserve(Millis(1002), kName, 501),
             BudgetShares::Verdict::kShort);
   holder.Draw(Millis(1003));
