Add a soak with instances as processes of their own

Instances run as processes between stand-ins for the store and the endpoints. Signals kill, pause, stop and reload them; a proxy before each store link delays, cuts (also one way), silences or resets it; the store refuses, goes silent, loses answers, slows down and forgets; endpoints leave and misbehave; configurations and topups come meanwhile. From what callers and endpoints see it checks: no overspend, one run of a request that may run once, truth of refusals, own and whole answers, leaving endpoints, graceful stops, configurations in their bound and never back, charges in the log, and service on every route once all is healed.

The caller and the sample configuration move out of front_test.cpp.

--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -18,107 +18,19 @@
 #include "absl/strings/str_replace.h"
 #include "cli/relay_settings.h"
 #include "platform/wire_names.h"
-#include "protocol/http_reader.h"
 #include "state/budget_claim.h"
+#include "support/caller.h"
 #include "support/loopback.h"
+#include "support/sample_site.h"
 #include "support/stand_in_endpoint.h"
 #include "support/stand_in_store.h"
 #include "transport/event_loop.h"
-#include "transport/tcp_stream.h"
 
 namespace tamaracktrail {
 namespace {
 
 using nlohmann::json;
 
-//! A caller that keeps its connection open after one request, and what came.
-class Caller : public TcpStream::Observer {
- public:
-  Caller(EventLoop* loop, const std::string& address, std::string request)
-      : request_(std::move(request)),
-        reader_(HttpReader::Kind::kResponse, 65536),
-        stream_(*TcpStream::Connect(loop, address, Millis(5000), this)) {}
-
-  void OnConnected() override {
-    stream_->Write(request_);
-    stream_->Flush();
-  }
-
-  void OnReadable() override {
-    std::string buf;
-    const auto result = stream_->Read(&buf, 65536);
-    in_ += buf;
-    if (!reader_.Feed(&in_).ok()) {
-      broken_ = true;
-    }
-    if (result == TcpStream::ReadResult::kEnd ||
-        result == TcpStream::ReadResult::kFailed) {
-      ended_ = true;
-      stream_.reset();
-    }
-  }
-
-  void OnFailed(const absl::Status&) override { ended_ = true; }
-
-  //! Leaves without waiting.
-  void Leave() { stream_.reset(); }
-
-  bool whole() const { return reader_.done() && !broken_; }
-  bool over() const { return whole() || ended_ || broken_; }
-  int status() const { return reader_.head_done() ? reader_.status() : 0; }
-  HttpReader& answer() { return reader_; }
-
- private:
-  std::string request_;
-  HttpReader reader_;
-  std::string in_;
-  bool ended_ = false;
-  bool broken_ = false;
-  std::unique_ptr<TcpStream> stream_;
-};
-
-json RouteEntry(const std::string& name,
-                const std::string& kind,
-                int attempts,
-                bool resumable) {
-  return {{"name", name},
-          {"host", "h.example"},
-          {"path_prefix", absl::StrCat("/", name, "/")},
-          {"kind", kind},
-          {"timeout_ms", 1500},
-          {"target_latency_ms", 300},
-          {"priority", 0},
-          {"service", kind == "streaming" ? "llm" : "app"},
-          {"max_attempts", attempts},
-          {"public", false},
-          {"stream_resumption", resumable},
-          {"target_gap_ms", 300}};
-}
-
-json Config(int64_t version, int64_t prepaid) {
-  return {{"version", version},
-          {"routes",
-           {RouteEntry("safe", "safe", 2, false),
-            RouteEntry("fee", "unsafe", 2, false),
-            RouteEntry("report", "streaming", 2, false),
-            RouteEntry("ask", "streaming", 2, true)}},
-          {"services",
-           {{{"name", "llm"},
-             {"connection_limit", 100},
-             {"engine", {{"slots", 8}, {"stride", 5}}}},
-            {{"name", "app"}, {"connection_limit", 100}}}},
-          {"limits",
-           {{"max_header_bytes", 4096},
-            {"max_body_bytes", 10000},
-            {"header_timeout_ms", 1000},
-            {"idle_timeout_ms", 5000}}},
-          {"tenants",
-           {{{"name", "cedar"},
-             {"api_keys", {"key-1"}},
-             {"priority", 1},
-             {"prepaid", prepaid}}}}};
-}
-
 //! One instance between stand-ins, all on one thread and one main loop.
 class FrontTest : public testing::Test {
  protected:
@@ -142,7 +54,7 @@
 
   void PutConfig(int64_t version, int64_t prepaid) {
     store_.Put(platform::kOperatorTopic, platform::kConfigKey,
-               Config(version, prepaid).dump());
+               SampleConfig(version, prepaid));
   }
 
   void PutEndpoint(const StandInEndpoint& endpoint,
@@ -159,19 +71,6 @@
     }
   }
 
-  std::string Request(const std::string& route,
-                      const std::string& id,
-                      const std::string& more = "") {
-    const bool stream = route == "report" || route == "ask";
-    return absl::StrCat(
-        "POST /", route, "/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ", id,
-        "\r\nX-Request-Deadline: 1200\r\nAuthorization: Bearer key-1\r\n",
-        stream ? "X-Model: m\r\nX-Token-Usage: 1000,100\r\n"
-                 "X-Prompt-Prefix: aa:600,bb:300,cc:100\r\n"
-               : "",
-        more, "Content-Length: 4\r\n\r\nbody");
-  }
-
   Caller* Send(const std::string& request) {
     return SendTo(settings_.callers_address, request);
   }
@@ -181,11 +80,6 @@
     return callers_.back().get();
   }
 
-  static std::string ReadinessRequest() {
-    return absl::StrCat("GET ", platform::kReadinessPath,
-                        " HTTP/1.1\r\nHost: x\r\n\r\n");
-  }
-
   //! Runs the instance; `script` runs once it is ready.
   void Run(const std::function<void()>& script) {
     platform::Front front("no-settings-file", settings_);
@@ -256,7 +150,7 @@
 };
 
 TEST_F(FrontTest, ForwardsARequestAndItsAnswerUnchanged) {
-  Caller* caller = RunOne(Request(
+  Caller* caller = RunOne(SampleRequest(
       "fee", "id-1", "X-Tenant: forged\r\nX-Hold: h\r\nX-Own: kept\r\n"));
   ASSERT_TRUE(caller->whole());
   EXPECT_EQ(caller->status(), 200);
@@ -332,7 +226,7 @@
 
 TEST_F(FrontTest, StreamsEventsAndChargesWhatWasDelivered) {
   UseAsEngines();
-  Caller* caller = RunOne(Request("report", "id-1"));
+  Caller* caller = RunOne(SampleRequest("report", "id-1"));
   ASSERT_TRUE(caller->whole());
   EXPECT_EQ(caller->answer().body(),
             "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n"
@@ -349,7 +243,7 @@
 TEST_F(FrontTest, ARequestBeyondTheBudgetIsRefusedAndDoesNotRun) {
   UseAsEngines();
   PutConfig(2, 500);
-  Caller* caller = RunOne(Request("report", "id-1"));
+  Caller* caller = RunOne(SampleRequest("report", "id-1"));
   EXPECT_EQ(caller->status(), 402);
   EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
 }
@@ -357,7 +251,7 @@
 TEST_F(FrontTest, ANonRepeatableRequestRunsOnceWhenItsAnswerIsLost) {
   a_.habits().silent = true;
   b_.habits().silent = true;
-  Caller* caller = RunOne(Request("fee", "id-1"));
+  Caller* caller = RunOne(SampleRequest("fee", "id-1"));
   EXPECT_EQ(caller->status(), 504);
   EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
 }
@@ -367,7 +261,7 @@
   std::vector<Caller*> all;
   Run([&] {
     for (int i = 0; i < 8; ++i) {
-      all.push_back(Send(Request("safe", absl::StrCat("id-", i))));
+      all.push_back(Send(SampleRequest("safe", absl::StrCat("id-", i))));
     }
     Await(
         [&] {
@@ -385,7 +279,7 @@
 TEST_F(FrontTest, ARefusalIsPassedOnAsNotRun) {
   a_.habits().refuse = true;
   b_.habits().refuse = true;
-  Caller* caller = RunOne(Request("fee", "id-1"));
+  Caller* caller = RunOne(SampleRequest("fee", "id-1"));
   EXPECT_EQ(caller->status(), 503);
   EXPECT_EQ(caller->answer().fields().Count("Retry-After"), 1U);
   EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
@@ -394,7 +288,7 @@
 TEST_F(FrontTest, AnAnswerWithoutSignatureIsNotPassedOn) {
   a_.habits().unsigned_answer = true;
   b_.habits().unsigned_answer = true;
-  Caller* caller = RunOne(Request("fee", "id-1"));
+  Caller* caller = RunOne(SampleRequest("fee", "id-1"));
   EXPECT_EQ(caller->status(), 502);
   EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
 }
@@ -406,7 +300,7 @@
   }
   Caller* caller = nullptr;
   Run([&] {
-    caller = Send(Request("ask", "id-1"));
+    caller = Send(SampleRequest("ask", "id-1"));
     Await([&] { return !a_.ran().empty() || !b_.ran().empty(); },
           [&] {
             (a_.ran().empty() ? a_ : b_).habits().break_after = -1;
@@ -424,7 +318,7 @@
   for (StandInEndpoint* it : {&a_, &b_}) {
     it->habits().break_after = 2;
   }
-  Caller* caller = RunOne(Request("report", "id-1"));
+  Caller* caller = RunOne(SampleRequest("report", "id-1"));
   EXPECT_FALSE(caller->whole());
   EXPECT_EQ(a_.Runs("id-1") + b_.Runs("id-1"), 1);
 }
@@ -435,7 +329,7 @@
     it->habits().events = 100000;
   }
   Run([&] {
-    Caller* caller = Send(Request("report", "id-1"));
+    Caller* caller = Send(SampleRequest("report", "id-1"));
     Await([caller] { return caller->status() == 200; },
           [&, caller] {
             caller->Leave();
@@ -451,7 +345,7 @@
   std::vector<Caller*> all;
   Run([&] {
     for (int i = 0; i < 10; ++i) {
-      all.push_back(Send(Request("fee", absl::StrCat("id-", i))));
+      all.push_back(Send(SampleRequest("fee", absl::StrCat("id-", i))));
     }
     Await(
         [&] {
@@ -469,7 +363,7 @@
   json stale = json::parse(b_.Entry("app", 5, false));
   store_.Put(platform::kEndpointTopic, "a", stale.dump());
   store_.Put(platform::kEndpointTopic, "b", "");
-  Caller* caller = RunOne(Request("fee", "id-1"));
+  Caller* caller = RunOne(SampleRequest("fee", "id-1"));
   EXPECT_EQ(caller->status(), 503);
   EXPECT_TRUE(b_.ran().empty());
 }
@@ -479,7 +373,7 @@
   store_.Put(platform::kEndpointTopic, "d", "\xff\x01");
   store_.Put(platform::kEndpointTopic, "e",
              "{\"service\":\"app\",\"address\":5,\"zone\":\"z\"}");
-  Caller* caller = RunOne(Request("fee", "id-1"));
+  Caller* caller = RunOne(SampleRequest("fee", "id-1"));
   EXPECT_EQ(caller->status(), 200);
 }
 
@@ -488,20 +382,20 @@
   Caller* during = nullptr;
   Caller* after = nullptr;
   Run([&] {
-    Caller* before = Send(Request("report", "id-0"));
+    Caller* before = Send(SampleRequest("report", "id-0"));
     AwaitOver(before, [&] {
       // The next record locks a share for requests like this one.
       Await([&] { return LockedShare() > 0; },
             [&] {
               store_.faults().silent = true;
-              during = Send(Request("report", "id-1"));
+              during = Send(SampleRequest("report", "id-1"));
               AwaitOver(during, [&] {
                 store_.faults().silent = false;
                 store_.Compact(platform::kEndpointTopic);
                 store_.Compact(platform::kOperatorTopic);
                 store_.Compact(platform::kBudgetTopic);
                 PutConfig(7, 1000000);
-                after = Send(Request("report", "id-2"));
+                after = Send(SampleRequest("report", "id-2"));
                 AwaitOver(after, [] { Stop(); });
               });
             });
@@ -531,7 +425,7 @@
     (*ask)();
   };
   // Larger than any share that is held without demand.
-  const std::string large = absl::StrReplaceAll(Request("report", "id-1"),
+  const std::string large = absl::StrReplaceAll(SampleRequest("report", "id-1"),
                                                 {{"1000,100", "30000,100"}});
   std::function<void()> insist = [&] {
     refused = Send(large);
@@ -558,14 +452,14 @@
   UseAsEngines();
   Caller* caller = nullptr;
   Run([&] {
-    caller = Send(Request("report", "id-1"));
+    caller = Send(SampleRequest("report", "id-1"));
     store_.faults().lose_appends = true;
     AwaitOver(caller, [&] {
       store_.faults().lose_appends = false;
       const uint64_t calls = store_.calls();
       Await([this, calls] { return store_.calls() > calls + 4; },
             [&] {
-              caller = Send(Request("report", "id-2"));
+              caller = Send(SampleRequest("report", "id-2"));
               AwaitOver(caller, [] { Stop(); });
             });
     });
@@ -587,7 +481,7 @@
   }
   Caller* caller = nullptr;
   Run([&] {
-    caller = Send(Request("report", "id-1"));
+    caller = Send(SampleRequest("report", "id-1"));
     Await([&] { return caller->status() == 200; }, [] { Stop(); });
   });
   ASSERT_TRUE(caller->whole());
@@ -600,7 +494,7 @@
   platform::Front front("no-settings-file", settings_);
   Caller* caller = nullptr;
   loop_.After(Millis(100), [&] {
-    caller = Send(Request("fee", "id-1"));
+    caller = Send(SampleRequest("fee", "id-1"));
     AwaitOver(caller, [] { Stop(); });
   });
   EXPECT_TRUE(front.Run().ok());
--- /dev/null
+++ b/tests/soak/instance_process.cpp
@@ -0,0 +1,77 @@
+#include "soak/instance_process.h"
+
+#include <fcntl.h>
+#include <glog/logging.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <fstream>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "support/loopback.h"
+
+extern char** environ;
+
+namespace tamaracktrail {
+
+InstanceProcess::InstanceProcess(EventLoop* loop,
+                                 const std::string& binary,
+                                 const std::string& folder,
+                                 std::string name,
+                                 const std::string& store_address)
+    : binary_(binary),
+      name_(std::move(name)),
+      callers_(FreeAddress()),
+      health_(FreeAddress()),
+      settings_path_(absl::StrCat(folder, "/", name_, ".ini")),
+      log_path_(absl::StrCat(folder, "/", name_, ".log")),
+      store_link_(loop, store_address) {
+  std::ofstream out(settings_path_);
+  out << "[instance]\nname = " << name_ << "\ndata_centre = dc-1\n"
+      << "[listen]\ncallers = " << callers_ << "\nhealth = " << health_
+      << "\npeers = " << FreeAddress() << "\nmetrics = " << FreeAddress()
+      << "\n[store]\naddress = " << store_link_.address()
+      << "\nreads_per_s = 2000\nwrites_per_s = 800\n"
+      << "[limits]\nfile_descriptors = 1024\ngrace_ms = 5000\n"
+      << "[retries]\nratio = 0.2\nextra = 50\n";
+}
+
+InstanceProcess::~InstanceProcess() {
+  if (running()) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+}
+
+void InstanceProcess::Start() {
+  CHECK(!running());
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, 1, log_path_.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, 1, 2);
+  std::string settings = absl::StrCat("--settings=", settings_path_);
+  std::string command = "front";
+  char* const arguments[] = {binary_.data(), command.data(), settings.data(),
+                             nullptr};
+  PCHECK(posix_spawn(&pid_, binary_.c_str(), &files, nullptr, arguments,
+                     environ) == 0);
+  posix_spawn_file_actions_destroy(&files);
+  ++incarnation_;
+}
+
+void InstanceProcess::Signal(int signal) {
+  CHECK_GT(pid_, 0);
+  kill(pid_, signal);
+}
+
+bool InstanceProcess::running() {
+  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    pid_ = 0;
+  }
+  return pid_ > 0;
+}
+
+}  // namespace tamaracktrail
--- /dev/null
+++ b/tests/support/sample_site.cpp
@@ -0,0 +1,88 @@
+#include "support/sample_site.h"
+
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "platform/wire_names.h"
+
+namespace tamaracktrail {
+
+namespace {
+
+using nlohmann::json;
+
+json RouteEntry(const std::string& name,
+                const std::string& kind,
+                int attempts,
+                bool resumable) {
+  return {{"name", name},
+          {"host", "h.example"},
+          {"path_prefix", absl::StrCat("/", name, "/")},
+          {"kind", kind},
+          {"timeout_ms", 1500},
+          {"target_latency_ms", 300},
+          {"priority", 0},
+          {"service", kind == "streaming" ? "llm" : "app"},
+          {"max_attempts", attempts},
+          {"public", false},
+          {"stream_resumption", resumable},
+          {"target_gap_ms", 300}};
+}
+
+}  // namespace
+
+std::string SampleConfig(int64_t version, int64_t prepaid) {
+  json of_version =
+      RouteEntry(absl::StrCat("version-", version), "safe", 2, false);
+  of_version["public"] = true;
+  return json{{"version", version},
+              {"routes",
+               {RouteEntry("safe", "safe", 2, false),
+                RouteEntry("fee", "unsafe", 2, false),
+                RouteEntry("report", "streaming", 2, false),
+                RouteEntry("ask", "streaming", 2, true), of_version}},
+              {"services",
+               {{{"name", "llm"},
+                 {"connection_limit", 100},
+                 {"engine", {{"slots", 8}, {"stride", 5}}}},
+                {{"name", "app"}, {"connection_limit", 100}}}},
+              {"limits",
+               {{"max_header_bytes", 4096},
+                {"max_body_bytes", 10000},
+                {"header_timeout_ms", 1000},
+                {"idle_timeout_ms", 5000}}},
+              {"tenants",
+               {{{"name", "cedar"},
+                 {"api_keys", {"key-1"}},
+                 {"priority", 1},
+                 {"prepaid", prepaid}}}}}
+      .dump();
+}
+
+std::string SampleRequest(const std::string& route,
+                          const std::string& id,
+                          const std::string& more) {
+  const bool stream = route == "report" || route == "ask";
+  return absl::StrCat(
+      "POST /", route, "/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ", id,
+      "\r\nX-Request-Deadline: 1200\r\nAuthorization: Bearer key-1\r\n",
+      stream ? "X-Model: m\r\nX-Token-Usage: 1000,100\r\n"
+               "X-Prompt-Prefix: aa:600,bb:300,cc:100\r\n"
+             : "",
+      more, "Content-Length: 4\r\n\r\nbody");
+}
+
+std::string SampleStream() {
+  std::string body;
+  for (int i = 1; i <= 5; ++i) {
+    absl::StrAppend(&body, "id: ", i, "\ndata: x\n\n");
+  }
+  return body;
+}
+
+std::string ReadinessRequest() {
+  return absl::StrCat("GET ", platform::kReadinessPath,
+                      " HTTP/1.1\r\nHost: x\r\n\r\n");
+}
+
+}  // namespace tamaracktrail
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,4 +8,5 @@
 build/read_ledger
 build/tests/unit_tests --gtest_brief=1
 tools/faults.sh
+build/tests/process_soak --seed=1 --runs=2 --seconds=5
 tools/known_red.sh
