--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -105,6 +105,7 @@
   };
   struct Endpoint {
     std::unique_ptr<StandInEndpoint> stand_in;
+    std::unique_ptr<FaultProxy> link;  //!< What the instances reach it by.
     std::string service;
     int64_t sequence = 1;
     Millis leaving;  //!< Since then; 0 for not.
@@ -141,6 +142,7 @@
     it.stand_in = std::make_unique<StandInEndpoint>(
         &loop_, absl::StrCat(service, "-", endpoints_.size()));
     it.stand_in->habits() = UsualHabits();
+    it.link = std::make_unique<FaultProxy>(&loop_, it.stand_in->address());
     PutEndpoint(&it);
   }
 
@@ -151,9 +153,10 @@
   }
 
   void PutEndpoint(Endpoint* it) {
-    store_.Put(platform::kEndpointTopic, it->stand_in->id(),
-               it->stand_in->Entry(it->service, ++it->sequence,
-                                   it->leaving > Millis(0)));
+    store_.Put(
+        platform::kEndpointTopic, it->stand_in->id(),
+        it->stand_in->Entry(it->service, ++it->sequence,
+                            it->leaving > Millis(0), it->link->address()));
   }
 
   // --- Faults ----------------------------------------------------------------
@@ -200,6 +203,7 @@
          }},
         {"endpoint_leaves", [&] { LeaveEndpoint(); }},
         {"endpoint_misbehaves", [&] { HarmEndpoint(); }},
+        {"endpoint_link", [&] { HarmEndpointLink(); }},
     };
     const Fault& fault = faults[Draw(std::size(faults))];
     ++report_.faults[fault.name];
@@ -249,19 +253,33 @@
     Send(it, SIGTERM);
   }
 
-  void HarmLink(Instance* it) {
+  FaultProxy::Mode DrawHarm() {
     constexpr FaultProxy::Mode kModes[] = {
         FaultProxy::Mode::kDelay,      FaultProxy::Mode::kCut,
         FaultProxy::Mode::kCutForward, FaultProxy::Mode::kCutBack,
         FaultProxy::Mode::kSilence,    FaultProxy::Mode::kReset};
+    return kModes[Draw(std::size(kModes))];
+  }
+
+  void HarmLink(Instance* it) {
     Trouble(it);
-    it->process->store_link().SetMode(kModes[Draw(std::size(kModes))]);
+    it->process->store_link().SetMode(DrawHarm());
     loop_.After(DrawTime(100, 4000), [this, it] {
       Trouble(it);
       it->process->store_link().SetMode(FaultProxy::Mode::kPass);
     });
   }
 
+  void HarmEndpointLink() {
+    Endpoint* it = &endpoints_[Draw(static_cast<int>(endpoints_.size()))];
+    endpoints_harmed_ = loop_.Now();
+    it->link->SetMode(DrawHarm());
+    loop_.After(DrawTime(50, 1500), [this, it] {
+      endpoints_harmed_ = loop_.Now();
+      it->link->SetMode(FaultProxy::Mode::kPass);
+    });
+  }
+
   void HarmStore() {
     TroubleAll();
     StandInStore::Faults& faults = store_.faults();
@@ -343,6 +361,7 @@
     store_.faults() = {};
     for (Endpoint& it : endpoints_) {
       it.stand_in->habits() = UsualHabits();
+      it.link->SetMode(FaultProxy::Mode::kPass);
     }
     prepaid_ += 1000 * kSampleTokens;
     PutConfig();
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -126,9 +126,10 @@
 
 std::string StandInEndpoint::Entry(const std::string& service,
                                    int64_t sequence,
-                                   bool draining) const {
+                                   bool draining,
+                                   const std::string& address) const {
   return nlohmann::json{{"service", service},
-                        {"address", address_},
+                        {"address", address.empty() ? address_ : address},
                         {"zone", "dc-1"},
                         {"version", "v1"},
                         {"slots", 8},
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -39,10 +39,11 @@
   const std::string& address() const { return address_; }
   Habits& habits() { return habits_; }
 
-  //! Its entry in the directory.
+  //! Its entry in the directory, under its own address where none is given.
   std::string Entry(const std::string& service,
                     int64_t sequence,
-                    bool draining) const;
+                    bool draining,
+                    const std::string& address = "") const;
 
   //! Requests that it began to work on, in order.
   const std::vector<CallerRequest>& ran() const { return ran_; }
