--- a/tests/soak/instance_process.cpp
+++ b/tests/soak/instance_process.cpp
@@ -1,10 +1,12 @@
 #include "soak/instance_process.h"
 
 #include <fcntl.h>
+#include <glib.h>
 #include <glog/logging.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <utility>
@@ -12,8 +14,6 @@
 #include "absl/strings/str_cat.h"
 #include "support/loopback.h"
 
-extern char** environ;
-
 namespace tamaracktrail {
 
 InstanceProcess::InstanceProcess(EventLoop* loop,
@@ -47,18 +47,23 @@
 
 void InstanceProcess::Start() {
   CHECK(!running());
-  posix_spawn_file_actions_t files;
-  posix_spawn_file_actions_init(&files);
-  posix_spawn_file_actions_addopen(&files, 1, log_path_.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&files, 1, 2);
+  const int log =
+      open(log_path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  PCHECK(log >= 0);
   std::string settings = absl::StrCat("--settings=", settings_path_);
   std::string command = "front";
-  char* const arguments[] = {binary_.data(), command.data(), settings.data(),
-                             nullptr};
-  PCHECK(posix_spawn(&pid_, binary_.c_str(), &files, nullptr, arguments,
-                     environ) == 0);
-  posix_spawn_file_actions_destroy(&files);
+  gchar* arguments[] = {binary_.data(), command.data(), settings.data(),
+                        nullptr};
+  // Were it left behind, it would go on calling the ports of the stand-ins,
+  // which other processes may have by then.
+  const GSpawnChildSetupFunc end_with_parent = [](gpointer) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+  };
+  CHECK(g_spawn_async_with_fds(nullptr, arguments, nullptr,
+                               G_SPAWN_DO_NOT_REAP_CHILD, end_with_parent,
+                               nullptr, &pid_, -1, log, log, nullptr))
+      << "event=not_started binary=" << binary_;
+  close(log);
   ++incarnation_;
 }
 
--- a/tests/soak/instance_process.h
+++ b/tests/soak/instance_process.h
@@ -36,6 +36,7 @@
   void Signal(int signal);
   //! Whether the process has not ended; looks each time.
   bool running();
+  pid_t pid() const { return pid_; }
   //! Raised by each start.
   int incarnation() const { return incarnation_; }
 
--- a/tests/soak/process_main.cpp
+++ b/tests/soak/process_main.cpp
@@ -55,7 +55,7 @@
     }
     violations += static_cast<int>(report.violations.size());
     if (report.violations.empty() && absl::GetFlag(FLAGS_logs).empty()) {
-      std::filesystem::remove_all(folder);
+      std::filesystem::remove_all(options.folder);
     }
   }
   return violations == 0 ? 0 : 1;
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -8,9 +8,5 @@
 build/read_ledger
 build/tests/unit_tests --gtest_brief=1
 tools/faults.sh
-# One finding is known (KNOWN-RED.txt): runs without a request id.
-build/tests/process_soak --seed=1 --runs=2 --seconds=5 >build/soak.out || true
-cat build/soak.out
-[ "$(grep -c '^seed=' build/soak.out)" = 2 ]
-! grep '^VIOLATION' build/soak.out | grep -v '^VIOLATION seed=[0-9]*  ran '
+build/tests/process_soak --seed=1 --runs=2 --seconds=5
 tools/known_red.sh
