Give back shares at once when a process is told to stop

Cause: a stopping instance gave back its shares only once it was quiet. Ruled out: cuts at that moment; the instances that ended in touch with the log lost their shares too (drained=0 in their stop line). Change: from SIGTERM on shares cover 2 s of demand, and once no stream is admitted any more all that is not in use is given back while streams run. Tests: two that failed first.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -14,6 +14,10 @@
 //! up to about 9 s at a time.
 constexpr double kCoverSeconds = 7.5;
 
+//! The same once the process is about to end: the balancer needs some 2 s to
+//! notice, and the kept connections are told to close meanwhile.
+constexpr double kDrainCoverSeconds = 2;
+
 //! Part of its fair share of what is left that an instance holds at most. A
 //! power loss of all instances strands what they hold, and an organisation near
 //! its end must not lose all of the rest by it.
@@ -275,6 +279,9 @@
 }
 
 double BudgetShares::LeastReturn(const Account& account) const {
+  if (draining_) {
+    return 0;
+  }
   return Left(account) * kIdlePart / instances_ *
          (account.undrawn() < 0 ? kLeastReturnPartWhenShort : kLeastReturnPart);
 }
@@ -287,8 +294,11 @@
   const double even = kEvenPart * prepaid / instances_;
   const double fair =
       left * (own + even) / (all + even * static_cast<double>(instances_));
-  double wanted = DemandRate(now, account) * kCoverSeconds;
-  wanted = std::max(wanted, left * kIdlePart / instances_);
+  const double cover = draining_ ? kDrainCoverSeconds : kCoverSeconds;
+  double wanted = DemandRate(now, account) * cover;
+  if (!draining_) {
+    wanted = std::max(wanted, left * kIdlePart / instances_);
+  }
   const double wealth = std::clamp(
       (left / std::max(1.0, prepaid) - kPoorLeft) / (kRichLeft - kPoorLeft),
       0.0, 1.0);
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -64,6 +64,10 @@
   //! How many instances share the budgets, this one included.
   void SetInstances(int n);
 
+  //! The process is about to end: from now on shares cover only the requests
+  //! that still come before callers have noticed.
+  void BeginDrain() { draining_ = true; }
+
   //! A record of the log, in its order. All records of predecessors come before
   //! the first batch is planned.
   void Apply(const BudgetClaim& claim);
@@ -168,6 +172,7 @@
 
   Identity self_;
   int instances_ = 1;
+  bool draining_ = false;
   Millis alone_since_{-1};
   bool in_flight_ = false;
   bool listing_ = false;
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -329,6 +329,25 @@
   EXPECT_EQ(other.shares().Claimed(kName), 3000);
 }
 
+TEST(BudgetSharesTest, AnInstanceThatIsAboutToEndGivesBackMostOfItsShare) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  holder.shares().SetInstances(2);
+  // 10,000 tokens a second.
+  Millis now(1000);
+  for (int i = 0; i < 50; ++i) {
+    now = now + Millis(100);
+    holder.shares().Reserve(now, kName, 1000);
+    holder.Draw(now);
+  }
+  ASSERT_GT(holder.shares().Look(now, kName).held, 50000);
+  holder.shares().BeginDrain();
+  holder.Draw(now + Millis(10));
+  EXPECT_LT(holder.shares().Look(now, kName).held, 30000);
+  EXPECT_GT(holder.shares().Look(now, kName).held, 10000);
+}
+
 //! Random instances, delays, crashes and changes of the total. What was spent
 //! is kept outside and must stay within the total in force when it was granted.
 class RandomRun {
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -131,6 +131,12 @@
     return claim && claim->spent > 0 ? claim->locked - claim->spent : 0;
   }
 
+  int64_t ClaimedShare() const {
+    const auto claim = DecodeBudgetClaim(
+        "node-1/cedar", store_.Newest(platform::kBudgetTopic, "node-1/cedar"));
+    return claim ? claim->claimed : 0;
+  }
+
   //! Sends one request and stops after its answer.
   Caller* RunOne(const std::string& request) {
     Caller* caller = nullptr;
@@ -488,6 +494,28 @@
   EXPECT_EQ(caller->answer().fields().Find("X-Request-Id"), "id-1");
 }
 
+TEST_F(FrontTest, AStopGivesBackSharesWhileStreamsStillRun) {
+  UseAsEngines();
+  settings_.grace = Millis(1500);
+  for (StandInEndpoint* it : {&a_, &b_}) {
+    // Longer than the grace time.
+    it->habits().events = 110;
+    it->habits().event_pause = Millis(10);
+  }
+  Caller* caller = nullptr;
+  int64_t held = 0;
+  Run([&] {
+    caller = Send(SampleRequest("report", "id-1"));
+    Await([&] { return caller->status() == 200; },
+          [&] {
+            held = ClaimedShare();
+            Stop();
+          });
+  });
+  EXPECT_GT(held, 1100);
+  EXPECT_EQ(ClaimedShare(), 1100);
+}
+
 TEST_F(FrontTest, NoConfigurationMeansNotReadyAndNotRun) {
   StandInStore empty(&loop_);
   settings_.store_address = empty.address();
