--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -11,8 +11,9 @@
 namespace {
 
 //! A share covers this much demand: instances are cut off from the platform for
-//! up to about 9 s at a time.
-constexpr double kCoverSeconds = 7.5;
+//! up to about 9 s at a time, and the demand of one organisation at one instance
+//! often doubles meanwhile.
+constexpr double kCoverSeconds = 18;
 
 //! The same once the process is about to end: the balancer needs some 2 s to
 //! notice, and the kept connections are told to close meanwhile.
@@ -21,8 +22,8 @@
 //! Part of its fair share of what is left that an instance holds at most. A
 //! power loss of all instances strands what they hold, and an organisation near
 //! its end must not lose all of the rest by it.
-constexpr double kRichFairPart = 0.5;
-constexpr double kPoorFairPart = 0.15;
+constexpr double kRichFairPart = 0.6;
+constexpr double kPoorFairPart = 0.1;
 //! Parts of the budget that are left where the one ends and the other begins.
 constexpr double kRichLeft = 0.6;
 constexpr double kPoorLeft = 0.25;
