--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -131,6 +131,8 @@
   bool raw_ = false;        //!< The answer is not cut into events.
   EventCutter cutter_;
   Millis first_event_at_;
+  Millis last_event_at_;
+  Millis longest_pause_;  //!< Between two events.
 
   EventLoop::TimerId end_timer_{};
   EventLoop::TimerId share_timer_{};
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -113,11 +113,15 @@
   if (bytes.empty()) {
     return;
   }
+  const Millis now = context_->loop->Now();
   if (!head_sent_) {
     head_sent_ = true;
-    first_event_at_ = context_->loop->Now();
+    first_event_at_ = now;
     connection_->BeginAnswer(answer_);
+  } else {
+    longest_pause_ = std::max(longest_pause_, now - last_event_at_);
   }
+  last_event_at_ = now;
   connection_->WriteBody(bytes);
   if (call_ && connection_->congested()) {
     call_->PauseReading(true);
@@ -295,7 +299,8 @@
       .Add("sends", sends_)
       .Add("events", cutter_.count());
   if (first_event_at_ > Millis(0)) {
-    line.Add("first_event_ms", first_event_at_ - request_.began);
+    line.Add("first_event_ms", first_event_at_ - request_.began)
+        .Add("longest_pause_ms", longest_pause_);
   }
 }
 
