Size shares by how much demand varies

Cause: with 73 to 85 instances each sees an organisation's request every few seconds, and they differ a hundredfold in size. Change: the long-run rate counts beside the recent one, and a share covers 12 s and 1.5 standard deviations of a compound Poisson demand.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -11,9 +11,12 @@
 namespace {
 
 //! A share covers this much demand: instances are cut off from the platform for
-//! up to about 9 s at a time, and the demand of one organisation at one instance
-//! often doubles meanwhile.
-constexpr double kCoverSeconds = 18;
+//! up to about 9 s at a time.
+constexpr double kCoverSeconds = 12;
+//! And this many standard deviations of what comes in that time. Few requests
+//! of very different sizes come to an instance from one organisation, the fewer
+//! the more instances there are, so that the mean says little.
+constexpr double kCoverDeviations = 1.5;
 
 //! The same once the process is about to end: the balancer needs some 2 s to
 //! notice, and the kept connections are told to close meanwhile.
@@ -63,15 +66,17 @@
 constexpr Millis kManyBeatPause{1000};
 constexpr int kManyInstances = 16;
 
-//! The locked part covers this much demand, and some requests of usual size.
+//! The same for the locked part, and one request of usual size besides.
 constexpr double kLockSeconds = 3.5;
-constexpr double kLockRequests = 1;
+constexpr double kLockDeviations = 0.5;
 //! Bounds within which a lock is kept as it is.
 constexpr double kRelockBelow = 0.5;
 constexpr double kRelockAbove = 2;
 
-//! Weight of one reservation in the usual size.
+//! Weight of one reservation in the usual size of its organisation, and in the
+//! sizes of all.
 constexpr double kUsualWeight = 0.1;
+constexpr double kSizeWeight = 0.02;
 
 //! Demand is not taken to be known before this.
 constexpr double kLeastDemandSeconds = 0.7;
@@ -232,6 +237,9 @@
   account.usual +=
       (account.usual == 0 ? 1 : kUsualWeight) * (size - account.usual);
   account.demand.Add(now, tokens);
+  account.asked += size;
+  mean_size_ += kSizeWeight * (size - mean_size_);
+  mean_square_ += kSizeWeight * (size * size - mean_square_);
   account.reserved += tokens;
   return Verdict::kGranted;
 }
@@ -270,7 +278,22 @@
   const double age = std::max(
       kLeastDemandSeconds,
       static_cast<double>((now - account.first_demand).count()) / 1000);
-  return account.demand.PerSecond(now) / (1 - std::exp(-age / kDemandSeconds));
+  const double recent =
+      account.demand.PerSecond(now) / (1 - std::exp(-age / kDemandSeconds));
+  // Between rare requests the recent rate falls to nothing.
+  return std::max(recent, account.asked / std::max(age, kDemandSeconds));
+}
+
+double BudgetShares::DemandIn(Millis now,
+                              const Account& account,
+                              double seconds,
+                              double deviations) const {
+  const double mean = DemandRate(now, account) * seconds;
+  if (mean == 0) {
+    return 0;
+  }
+  // Requests come independently: the variance of their sum grows with the mean.
+  return mean + deviations * std::sqrt(mean * mean_square_ / mean_size_);
 }
 
 double BudgetShares::Left(const Account& account) const {
@@ -295,11 +318,11 @@
   const double even = kEvenPart * prepaid / instances_;
   const double fair =
       left * (own + even) / (all + even * static_cast<double>(instances_));
-  const double cover = draining_ ? kDrainCoverSeconds : kCoverSeconds;
-  double wanted = DemandRate(now, account) * cover;
-  if (!draining_) {
-    wanted = std::max(wanted, left * kIdlePart / instances_);
-  }
+  double wanted =
+      draining_
+          ? DemandIn(now, account, kDrainCoverSeconds, 0)
+          : std::max(DemandIn(now, account, kCoverSeconds, kCoverDeviations),
+                     left * kIdlePart / instances_);
   const double wealth = std::clamp(
       (left / std::max(1.0, prepaid) - kPoorLeft) / (kRichLeft - kPoorLeft),
       0.0, 1.0);
@@ -314,7 +337,7 @@
 
 int64_t BudgetShares::LockTarget(Millis now, const Account& account) const {
   const double wanted =
-      DemandRate(now, account) * kLockSeconds + kLockRequests * account.usual;
+      DemandIn(now, account, kLockSeconds, kLockDeviations) + account.usual;
   return std::max(static_cast<int64_t>(wanted), account.needed);
 }
 
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -143,6 +143,7 @@
     Millis needed_at;
     double usual = 0;  //!< Smoothed size of reservations.
     Millis first_demand;
+    double asked = 0;  //!< All reservations.
     RateMeter demand{Millis(5000)};
 
     int64_t in_use() const { return spent + reserved; }
@@ -154,6 +155,11 @@
 
   int64_t AvailableIn(Millis now, const Account& account) const;
   double DemandRate(Millis now, const Account& account) const;
+  //! What comes in this time at most, but for rare cases.
+  double DemandIn(Millis now,
+                  const Account& account,
+                  double seconds,
+                  double deviations) const;
   double Left(const Account& account) const;
   int64_t Target(Millis now, const Account& account) const;
   int64_t LockTarget(Millis now, const Account& account) const;
@@ -174,6 +180,9 @@
   int instances_ = 1;
   bool draining_ = false;
   Millis alone_since_{-1};
+  //! Smoothed, of the reservations of all organisations.
+  double mean_size_ = 0;
+  double mean_square_ = 0;
   bool in_flight_ = false;
   bool listing_ = false;
   bool listing_decides_ = false;  //!< No batch was on its way at its start.
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -348,6 +348,27 @@
   EXPECT_GT(holder.shares().Look(now, kName).held, 10000);
 }
 
+TEST(BudgetSharesTest, AFewLargeRequestsOfAnOrganisationAreCoveredInACut) {
+  FakeTopic topic;
+  Holder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(100000000));
+  holder.shares().SetInstances(80);
+  // One request in twelve seconds, as many instances see of one organisation.
+  Millis now(1000);
+  for (int i = 0; i < 4; ++i) {
+    holder.shares().Reserve(now, kName, 20000);
+    holder.Draw(now);
+    holder.shares().Reserve(now, kName, 20000);
+    now = now + Millis(12000);
+    holder.Draw(now);
+  }
+  // The log is out of reach for some seconds, and two come together.
+  for (const Millis at : {Millis(4000), Millis(4100)}) {
+    EXPECT_EQ(holder.shares().Reserve(now + at, kName, 20000),
+              BudgetShares::Verdict::kGranted);
+  }
+}
+
 //! Random instances, delays, crashes and changes of the total. What was spent
 //! is kept outside and must stay within the total in force when it was granted.
 class RandomRun {
