--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -152,6 +152,7 @@
   StandInEndpoint a_;
   StandInEndpoint b_;
   RelaySettings settings_;
+  Millis began_;
   std::vector<std::unique_ptr<Caller>> callers_;
 };
 
@@ -454,6 +455,33 @@
   EXPECT_TRUE(a_.ran().empty() && b_.ran().empty());
 }
 
+TEST_F(FrontTest, DrawsSharesThroughALinkThatDelaysEachAnswer) {
+  UseAsEngines();
+  Caller* caller = nullptr;
+  // Larger than any share that is held without demand.
+  const std::string large = absl::StrReplaceAll(SampleRequest("report", "id-1"),
+                                                {{"1000,100", "30000,100"}});
+  std::function<void()> insist = [&] {
+    caller = Send(large);
+    AwaitOver(caller, [&] {
+      if (caller->status() == 200) {
+        Stop();
+      } else {
+        loop_.After(Millis(100), insist);
+      }
+    });
+  };
+  Run([&] {
+    store_.faults().delay = Millis(1500);
+    loop_.After(Millis(12000), [&] { store_.faults().delay = Millis(0); });
+    WhenReady([&] {
+      began_ = loop_.Now();
+      insist();
+    });
+  });
+  EXPECT_LT(loop_.Now() - began_, Millis(10000));
+}
+
 TEST_F(FrontTest, ALostAnswerOfTheStoreClaimsNothingTwice) {
   UseAsEngines();
   Caller* caller = nullptr;
