Send callers elsewhere while the link of an instance is congested

Cause: callers reach an instance by a hash, and a few of them bring a fifth of all requests to one of 73 instances, behind 10 Mbit/s. There 2,352 of 3,258 attempts in 8 s took too long to connect, whatever the endpoint, plain requests took 100 to 345 ms instead of 15, and the log could not be followed, while its neighbours were idle. Ruled out: slow arrival of request bodies and late reports of peers as signs of it (two trials, neither was seen to change). Change: an instance whose attempts mostly end before they are connected is not ready for 3 s or more and ends its connections with the answers.

--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -12,6 +12,7 @@
 #include "coordination/budget_shares.h"
 #include "coordination/crash_guard.h"
 #include "coordination/endpoint_board.h"
+#include "coordination/link_congestion.h"
 #include "coordination/placement.h"
 #include "coordination/prefix_memory.h"
 #include "coordination/retry_budget.h"
@@ -51,6 +52,11 @@
   //! A configuration came into force.
   void SetConfig(std::shared_ptr<const RoutingConfig> next);
 
+  //! Whether callers had better reach another instance.
+  bool SendsCallersElsewhere() const {
+    return outage.active() || congestion.active();
+  }
+
   //! How many instances share budgets and retries.
   void SetInstances(int n);
 
@@ -74,6 +80,7 @@
   Placement placement;
   BudgetShares shares;
   ShareOutage outage;
+  LinkCongestion congestion;
   CrashGuard crashes;
   EndpointPool pool;
   std::mt19937_64 random;
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -327,6 +327,8 @@
                    outcome != AttemptOutcome::kRefused &&
                    outcome != AttemptOutcome::kMisdirected;
   may_have_run_ = may_have_run_ || ran;
+  context_->congestion.OnAttempt(context_->loop->Now(),
+                                 outcome == AttemptOutcome::kNotSent);
   if (outcome == AttemptOutcome::kBroken && ticket_) {
     context_->crashes.OnBroken(context_->loop->Now(), content_, ticket_->hash);
   }
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -70,6 +70,7 @@
   answer_ = {};
   answer_.status = answer.status();
   answer_.reason = answer.reason();
+  answer_.last = context_->congestion.active();
   for (const HttpField& it : answer.fields().all()) {
     if (!IsHopByHopField(it.name) &&
         !EqualsIgnoringCase(it.name, "Content-Length")) {
@@ -191,7 +192,7 @@
   if (!request_id_.empty()) {
     head.fields.Add(context_->dialect.request_id, request_id_);
   }
-  head.last = context_->outage.active();
+  head.last = context_->SendsCallersElsewhere();
   LogEnd(503, "refused", reason);
   connection_->Answer(head, "");
 }
