Let no peer's copy of the directory bring a removed endpoint back

Cause: an instance that came back from an outage of the store read that an endpoint was removed; 25 ms later a peer, asked before that, handed over its copy with the entry from before the removal. Ruled out: a late reader (the removal was read at 32.966 s, within the bound) and a congested link (that instance was nearly idle). Change: copies are applied only to endpoints that are not missing here; the store alone brings one back. Test: failed first.

--- a/src/coordination/endpoint_board.cpp
+++ b/src/coordination/endpoint_board.cpp
@@ -81,6 +81,19 @@
   endpoints_.emplace(entry.id, std::move(fresh));
 }
 
+bool EndpointBoard::ApplyCopy(Millis now, const EndpointEntry& entry) {
+  const EndpointState* known = Find(entry.id, entry.born);
+  const auto left = left_.find(entry.id);
+  const bool missing =
+      (known != nullptr && known->lapsed_at > Millis(0)) ||
+      (left != left_.end() && entry.born <= left->second.first);
+  if (missing) {
+    return false;
+  }
+  Apply(now, entry);
+  return true;
+}
+
 void EndpointBoard::Remove(Millis now,
                            const std::string& id,
                            bool store_in_doubt) {
--- a/src/coordination/endpoint_board.h
+++ b/src/coordination/endpoint_board.h
@@ -38,6 +38,11 @@
   //! entries of older incarnations, change nothing.
   void Apply(Millis now, const EndpointEntry& entry);
 
+  //! The same from a peer's copy of the directory. It may be older than a
+  //! removal that is known here, so it brings back no endpoint that is missing:
+  //! then false.
+  bool ApplyCopy(Millis now, const EndpointEntry& entry);
+
   //! The directory dropped an endpoint. With `store_in_doubt`, one that did not
   //! announce its leaving is used for a little longer.
   void Remove(Millis now, const std::string& id, bool store_in_doubt);
--- a/tests/coordination/endpoint_board_test.cpp
+++ b/tests/coordination/endpoint_board_test.cpp
@@ -53,6 +53,25 @@
   EXPECT_TRUE(board.MayReceive(kNow, "e", 3));
 }
 
+// Seen on a day with 73 instances: an instance that came back from a cut heard
+// of a removal, and 25 ms later a peer handed over the entry from before it.
+TEST(EndpointBoardTest, APeersCopyDoesNotBringARemovedEndpointBack) {
+  EndpointBoard board;
+  board.Apply(kNow, Entry("e", 1, 5));
+  board.Remove(kNow, "e", true);
+  EXPECT_FALSE(board.ApplyCopy(kNow + Millis(25), Entry("e", 1, 7)));
+  EXPECT_FALSE(board.MayReceive(kNow + Millis(2000), "e", 1));
+  // The store tells that it is there.
+  board.Apply(kNow + Millis(2100), Entry("e", 1, 8));
+  EXPECT_TRUE(board.MayReceive(kNow + Millis(2200), "e", 1));
+  board.Remove(kNow + Millis(2250), "e", false);
+  EXPECT_FALSE(board.ApplyCopy(kNow + Millis(2260), Entry("e", 1, 9)));
+  EXPECT_FALSE(board.MayReceive(kNow + Millis(2270), "e", 1));
+  // What is not missing may come from a peer.
+  EXPECT_TRUE(board.ApplyCopy(kNow + Millis(2300), Entry("f", 1, 1)));
+  EXPECT_TRUE(board.MayReceive(kNow + Millis(2300), "f", 1));
+}
+
 TEST(EndpointBoardTest, ALateEntryDoesNotBringARemovedEndpointBack) {
   EndpointBoard board;
   board.Apply(kNow, Entry("e", 1, 5));
