Add failing tests of reads after a silence of the store and of a peer's newer version

Callers were answered by an old configuration for up to 4 s after a silent store was back. The new log lines show why: store_regained of keyed.op comes after three failures, some 0.2 s after the last one, that is, after a call of 5.8 s that began during the silence; meanwhile every other instance's report was ignored.

--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -24,7 +25,12 @@
 #include "support/sample_config.h"
 #include "support/stand_in_endpoint.h"
 #include "support/stand_in_store.h"
+#include "transport/event_log.h"
 #include "transport/event_loop.h"
+#include "transport/metrics.h"
+#include "transport/peer_exchange.h"
+#include "transport/peer_gossip.h"
+#include "transport/socket_address.h"
 
 namespace tamaracktrail {
 namespace {
@@ -124,6 +130,22 @@
     Await([caller] { return caller->finished(); }, then);
   }
 
+  //! Calls `then` once requests on the public route `name` are served.
+  void AwaitRoute(const std::string& name, const std::function<void()>& then) {
+    Caller* caller = Send(absl::StrCat("GET /", name,
+                                       "/ HTTP/1.1\r\nHost: h.example\r\n"
+                                       "X-Request-Id: ",
+                                       callers_.size(), "\r\n\r\n"));
+    AwaitOver(caller, [=, this] {
+      if (caller->status() == 404) {
+        loop_.After(Millis(20), [=, this] { AwaitRoute(name, then); });
+        return;
+      }
+      in_force_at_ = loop_.Now();
+      then();
+    });
+  }
+
   static void Stop() { raise(SIGTERM); }
 
   //! Unspent tokens that the newest claim locks; 0 while the newest claim
@@ -156,6 +178,7 @@
   StandInEndpoint b_;
   RelaySettings settings_;
   Millis started_at_;
+  Millis in_force_at_;
   std::vector<std::unique_ptr<Caller>> callers_;
 };
 
@@ -427,6 +450,76 @@
   EXPECT_EQ(after->status(), 200);
 }
 
+TEST_F(FrontTest, ConfigurationOfPeerIsTakenWhileReadOfStoreHangs) {
+  Metrics metrics;
+  EventLog log(&loop_, STDOUT_FILENO);
+  const std::string peer_address = FreeAddress();
+  PeerExchange::Hooks hooks;
+  hooks.config = [] {
+    return PeerExchange::Records{
+        {platform::kConfigKey, SampleConfig(3, 1000000)}};
+  };
+  hooks.endpoints = [] { return PeerExchange::Records(); };
+  PeerExchange exchange(&loop_, &log, &metrics, *ListenTcp(peer_address),
+                        hooks);
+  PeerGossip gossip(&loop_, *BindUdp(peer_address),
+                    [](const PeerGossip::Report&) {});
+  gossip.SetPeers({settings_.peers_address});
+  PeerGossip::Report report;
+  report.incarnation = 1;
+  report.config_version = 3;
+  report.directory_age_ms = 100000;
+  report.address = peer_address;
+  std::function<void()> send_reports = [&] {
+    gossip.Send(report);
+    loop_.After(Millis(50), send_reports);
+  };
+  Millis first_report_at;
+  Run([&] {
+    // The pending read still gets version 2; the next one gets no answer for
+    // longer than the test allows.
+    PutConfig(2, 1000000);
+    store_.faults().unresponsive = true;
+    AwaitRoute("version-2", [&] {
+      first_report_at = loop_.Now();
+      send_reports();
+      AwaitRoute("version-3", [] { Stop(); });
+    });
+  });
+  EXPECT_LT(in_force_at_ - first_report_at, Millis(2000));
+}
+
+TEST_F(FrontTest, SharesGrowSoonAfterStoreWasSilent) {
+  UseAsEngines();
+  // 30,000 prompt tokens instead of 1,000: larger than any share that is held
+  // without demand.
+  const std::string large = absl::StrReplaceAll(SampleRequest("report", "id-1"),
+                                                {{"1000,100", "30000,100"}});
+  Millis back_at;
+  Caller* caller = nullptr;
+  std::function<void()> send_again = [&] {
+    caller = Send(large);
+    AwaitOver(caller, [&] {
+      if (caller->status() == 200) {
+        Stop();
+      } else {
+        loop_.After(Millis(50), send_again);
+      }
+    });
+  };
+  Run([&] {
+    store_.faults().unresponsive = true;
+    send_again();
+    loop_.After(Millis(4300), [&] {
+      store_.faults().unresponsive = false;
+      back_at = loop_.Now();
+    });
+    Await([&] { return caller->status() == 200; },
+          [&] { in_force_at_ = loop_.Now(); }, 10000);
+  });
+  EXPECT_LT(in_force_at_ - back_at, Millis(3000));
+}
+
 TEST_F(FrontTest, DivertsCallersWhileSharesCannotBeClaimed) {
   UseAsEngines();
   Caller* refused = nullptr;
--- /dev/null
+++ b/tests/platform/topic_reader_test.cpp
@@ -0,0 +1,96 @@
+#include "platform/topic_reader.h"
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/store_client.h"
+#include "platform/store_record.h"
+#include "platform/wire_names.h"
+#include "support/stand_in_store.h"
+#include "transport/event_log.h"
+#include "transport/event_loop.h"
+#include "transport/metrics.h"
+
+namespace tamaracktrail::platform {
+namespace {
+
+//! Follows the operator's topic on a stand-in of the store.
+class TopicReaderTest : public testing::Test {
+ protected:
+  TopicReaderTest()
+      : log_fd_(open("/dev/null", O_WRONLY | O_NONBLOCK)),
+        log_(&loop_, log_fd_),
+        store_(&loop_),
+        client_(&loop_, store_.address(), &metrics_),
+        reader_(
+            &loop_,
+            &log_,
+            &client_,
+            {kOperatorTopic, Millis(1000), Millis(20)},
+            [this](const StoreRecord& it) {
+              read_at_ = loop_.Now();
+              values_.push_back(it.value);
+            },
+            [](const std::vector<std::string>&) {}) {}
+  ~TopicReaderTest() override { close(log_fd_); }
+
+  //! Stops the loop once `value` was read, or after `limit`.
+  void RunUntilRead(const std::string& value, Millis limit) {
+    if (limit <= Millis(0) || (!values_.empty() && values_.back() == value)) {
+      loop_.Quit();
+      return;
+    }
+    loop_.After(Millis(5),
+                [=, this] { RunUntilRead(value, limit - Millis(5)); });
+  }
+
+  EventLoop loop_;
+  int log_fd_;
+  EventLog log_;
+  Metrics metrics_;
+  StandInStore store_;
+  StoreClient client_;
+  TopicReader reader_;
+  std::vector<std::string> values_;
+  Millis read_at_;
+};
+
+TEST_F(TopicReaderTest, CallsMadeDuringSilenceDoNotDelayReadsAfterIt) {
+  Millis back_at;
+  reader_.Start();
+  loop_.After(Millis(100), [&] {
+    // The first read of the silence fails after 2.2 s, the second one has been
+    // sent when the store is back.
+    store_.Put(kOperatorTopic, kConfigKey, "before");
+    store_.faults().unresponsive = true;
+    loop_.After(Millis(2600), [&] {
+      store_.faults().unresponsive = false;
+      back_at = loop_.Now();
+      store_.Put(kOperatorTopic, kConfigKey, "after");
+      RunUntilRead("after", Millis(8000));
+    });
+  });
+  loop_.Run();
+  EXPECT_EQ(values_, (std::vector<std::string>{"before", "after"}));
+  EXPECT_LT(read_at_ - back_at, Millis(2000));
+}
+
+TEST_F(TopicReaderTest, AnswersLaterThanTheTimeoutAreUsed) {
+  store_.Put(kOperatorTopic, kConfigKey, "first");
+  store_.faults().delay = Millis(1700);
+  reader_.Start();
+  loop_.After(Millis(5000), [&] {
+    store_.Put(kOperatorTopic, kConfigKey, "second");
+    RunUntilRead("second", Millis(8000));
+  });
+  loop_.Run();
+  EXPECT_EQ(values_, (std::vector<std::string>{"first", "second"}));
+}
+
+}  // namespace
+}  // namespace tamaracktrail::platform
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -17,9 +17,12 @@
 #include "transport/metrics.h"
 #include "transport/peer_exchange.h"
 #include "transport/peer_gossip.h"
+#include "transport/relay/caller_connection.h"
+#include "transport/relay/caller_request.h"
 #include "transport/relay/connection_pool.h"
 #include "transport/relay/endpoint_call.h"
 #include "transport/relay/fixed_answer_task.h"
+#include "transport/relay/http_fetch.h"
 #include "transport/relay/relay_server.h"
 #include "transport/socket_address.h"
 
@@ -242,6 +245,83 @@
   EXPECT_EQ(received[0], report);
 }
 
+//! Answers with pieces of a body, at an interval; ends the answer after the
+//! last one unless it is to stay open.
+class PiecesTask : public RequestTask {
+ public:
+  PiecesTask(EventLoop* loop,
+             CallerConnection* connection,
+             int pieces,
+             bool stays_open)
+      : loop_(loop),
+        connection_(connection),
+        pieces_(pieces),
+        stays_open_(stays_open) {}
+  ~PiecesTask() override { loop_->Cancel(&timer_); }
+
+  void Start() override {
+    AnswerHead head;
+    head.status = 200;
+    head.reason = "OK";
+    connection_->BeginAnswer(head);
+    SendNext();
+  }
+  void OnCallerDrained() override {}
+
+ private:
+  void SendNext() {
+    if (pieces_ == 0) {
+      if (!stays_open_) {
+        connection_->EndAnswer();
+      }
+      return;
+    }
+    --pieces_;
+    connection_->WriteBody("piece,");
+    timer_ = loop_->After(Millis(250), [this] { SendNext(); });
+  }
+
+  EventLoop* loop_;
+  CallerConnection* connection_;
+  int pieces_;
+  bool stays_open_;
+  EventLoop::TimerId timer_{};
+};
+
+//! Fetches an answer of `pieces` pieces with a timeout of 400 ms.
+absl::StatusOr<HttpFetch::Answer> FetchPieces(int pieces, bool stays_open) {
+  EventLoop loop;
+  Metrics metrics;
+  const auto [fd, address] = ListenOnFreePort();
+  RelayServer server(
+      &loop, fd, 16,
+      [&](CallerConnection* connection, const CallerRequest&) {
+        return std::make_unique<PiecesTask>(&loop, connection, pieces,
+                                            stays_open);
+      },
+      &metrics);
+  ConnectionPool pool(&loop, [](uint64_t) {});
+  absl::StatusOr<HttpFetch::Answer> got = absl::UnknownError("not called");
+  HttpFetch fetch(&loop, &pool, address, "GET", "/", "", Millis(400),
+                  [&](absl::StatusOr<HttpFetch::Answer> answer) {
+                    got = std::move(answer);
+                    loop.Quit();
+                  });
+  loop.After(Millis(5000), [&] { loop.Quit(); });
+  loop.Run();
+  return got;
+}
+
+TEST(HttpFetchTest, AnswerThatKeepsArrivingIsNotCutOffByTheTimeout) {
+  const auto answer = FetchPieces(5, false);
+  ASSERT_TRUE(answer.ok()) << answer.status();
+  EXPECT_EQ(answer->body, "piece,piece,piece,piece,piece,");
+}
+
+TEST(HttpFetchTest, AnswerThatStopsArrivingFails) {
+  EXPECT_TRUE(absl::IsDeadlineExceeded(FetchPieces(2, true).status()));
+}
+
 TEST(PeerExchangeTest, StoredConfigIsFetchedAndMissingEndpointsAreNot) {
   EventLoop loop;
   EventLog log(&loop, open("/dev/null", O_WRONLY));
