End a silent call to the store by its silence, not by a timeout that grows

Callers were answered by an old configuration for up to 4 s after a silent store was back, and requests were refused for want of a share as long.

Each timeout doubled the timeout of the next call, up to 9.6 s and 1 s of waiting for records, so a call that began during the silence held up all later ones of its reader (call of 5.8 s before store_regained of keyed.op). The growth was there for answers that take long on a congested link.

--- a/src/transport/relay/http_fetch.cpp
+++ b/src/transport/relay/http_fetch.cpp
@@ -29,7 +29,10 @@
                      std::string body,
                      Millis timeout,
                      Callback callback)
-    : loop_(loop), callback_(std::move(callback)) {
+    : loop_(loop),
+      callback_(std::move(callback)),
+      timeout_(timeout),
+      progressed_at_(loop->Now()) {
   EndpointCall::Options options;
   options.endpoint = StableHash(address);
   options.address = address;
@@ -43,10 +46,7 @@
     absl::StrAppend(&head, "Content-Length: ", body.size(), "\r\n");
   }
   head += "\r\n";
-  timer_ = loop_->After(timeout, [this] {
-    call_.reset();
-    Finish(absl::DeadlineExceededError("no answer in time"));
-  });
+  timer_ = loop_->After(timeout, [this] { CheckProgress(); });
   call_->Start(head, std::make_shared<const std::string>(std::move(body)));
 }
 
@@ -54,12 +54,24 @@
   loop_->Cancel(&timer_);
 }
 
+void HttpFetch::CheckProgress() {
+  const Millis rest = progressed_at_ + timeout_ - loop_->Now();
+  if (rest > Millis(0)) {
+    timer_ = loop_->After(rest, [this] { CheckProgress(); });
+    return;
+  }
+  call_.reset();
+  Finish(absl::DeadlineExceededError("no answer in time"));
+}
+
 bool HttpFetch::OnAnswerHead(const HttpReader& answer) {
+  progressed_at_ = loop_->Now();
   answer_.status = answer.status();
   return true;
 }
 
 void HttpFetch::OnAnswerBody(std::string* body) {
+  progressed_at_ = loop_->Now();
   answer_.body += *body;
   body->clear();
 }
--- a/src/transport/relay/http_fetch.h
+++ b/src/transport/relay/http_fetch.h
@@ -26,8 +26,9 @@
   using Callback = std::function<void(absl::StatusOr<Answer>)>;
 
   //! Starts the call. `callback` is called once, from the loop, and may destroy
-  //! the fetch. Errors: DeadlineExceeded after `timeout`, Unavailable if the
-  //! call failed. Precondition: loop and pool outlive the fetch.
+  //! the fetch. Errors: DeadlineExceeded if nothing arrives for `timeout`,
+  //! Unavailable if the call failed. Precondition: loop and pool outlive the
+  //! fetch.
   HttpFetch(EventLoop* loop,
             ConnectionPool* pool,
             const std::string& address,
@@ -41,17 +42,23 @@
   HttpFetch(const HttpFetch&) = delete;
   HttpFetch& operator=(const HttpFetch&) = delete;
 
+  //! When a part of the answer last arrived; the start before that.
+  Millis progressed_at() const { return progressed_at_; }
+
  private:
   bool OnAnswerHead(const HttpReader& answer) override;
   void OnAnswerBody(std::string* body) override;
   void OnAnswerDone() override;
   void OnCallFailed(const absl::Status& status, bool sent) override;
+  void CheckProgress();
   void Finish(absl::StatusOr<Answer> answer);
 
   EventLoop* loop_;
   std::unique_ptr<EndpointCall> call_;
   Callback callback_;
   Answer answer_;
+  Millis timeout_;
+  Millis progressed_at_;
   EventLoop::TimerId timer_{};
 };
 
