--- a/src/transport/relay/connection_pool.cpp
+++ b/src/transport/relay/connection_pool.cpp
@@ -95,6 +95,10 @@
   }
 }
 
+void ConnectionPool::Clear() {
+  idle_.clear();
+}
+
 void ConnectionPool::Remove(IdleConnection* idle, bool failed) {
   const uint64_t key = idle->key();
   const auto it = idle_.find(key);
--- a/src/transport/relay/connection_pool.h
+++ b/src/transport/relay/connection_pool.h
@@ -43,6 +43,9 @@
   //! Closes connections that have expired.
   void OnTick();
 
+  //! Closes all idle connections.
+  void Clear();
+
   size_t size() const;
 
  private:
--- a/tests/platform/topic_reader_test.cpp
+++ b/tests/platform/topic_reader_test.cpp
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "platform/store_client.h"
 #include "platform/store_record.h"
 #include "platform/wire_names.h"
+#include "support/fault_proxy.h"
 #include "support/stand_in_store.h"
 #include "transport/event_log.h"
 #include "transport/event_loop.h"
@@ -92,5 +94,36 @@
   EXPECT_EQ(values_, (std::vector<std::string>{"first", "second"}));
 }
 
+TEST_F(TopicReaderTest, DeadIdleConnectionsDelayOneReadOnly) {
+  FaultProxy proxy(&loop_, store_.address());
+  StoreClient client(&loop_, proxy.address(), &metrics_);
+  TopicReader reader(
+      &loop_, &log_, &client, {kOperatorTopic, Millis(0), Millis(400)},
+      [&](const StoreRecord& it) {
+        read_at_ = loop_.Now();
+        values_.push_back(it.value);
+      },
+      [](const std::vector<std::string>&) {});
+  // Calls at the same time leave one idle connection each.
+  for (int i = 0; i < 4; ++i) {
+    client.List(kEndpointTopic, "", [](const absl::StatusOr<StorePage>&) {});
+  }
+  Millis dead_at;
+  loop_.After(Millis(100), [&] { reader.Start(); });
+  loop_.After(Millis(700), [&] {
+    proxy.SetMode(FaultProxy::Mode::kBlackhole);
+    dead_at = loop_.Now();
+    // Connections that are open by now stay dead, new ones work.
+    loop_.After(Millis(100), [&] {
+      proxy.SetMode(FaultProxy::Mode::kPass);
+      store_.Put(kOperatorTopic, kConfigKey, "after");
+      RunUntilRead("after", Millis(8000));
+    });
+  });
+  loop_.Run();
+  EXPECT_EQ(values_, std::vector<std::string>{"after"});
+  EXPECT_LT(read_at_ - dead_at, Millis(3000));
+}
+
 }  // namespace
 }  // namespace tamaracktrail::platform
