--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 
 #include "platform/config_decoder.h"
@@ -12,6 +13,8 @@
 namespace tamaracktrail::platform {
 namespace {
 
+using nlohmann::json;
+
 constexpr char kConfig[] = R"({"version":7,"routes":[
   {"name":"r1","host":"H.example","path_prefix":"/a/","kind":"streaming",
    "timeout_ms":15000,"target_latency_ms":800,"priority":1,
@@ -56,6 +59,18 @@
   EXPECT_FALSE(DecodeConfig("{\"version\":1,\"routes\":[{}]}").ok());
 }
 
+TEST(ConfigDecoderTest, RejectsConfigurationWithoutOneOfItsParts) {
+  const json complete = json::parse(kConfig);
+  ASSERT_TRUE(DecodeConfig(complete.dump()).ok());
+  for (const char* part : {"version", "routes", "services", "limits"}) {
+    json incomplete = complete;
+    incomplete.erase(part);
+    EXPECT_FALSE(DecodeConfig(incomplete.dump()).ok()) << part;
+    incomplete[part] = "text";
+    EXPECT_FALSE(DecodeConfig(incomplete.dump()).ok()) << part;
+  }
+}
+
 struct EntryCase {
   const char* name;
   const char* text;
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -130,12 +130,16 @@
     Await([caller] { return caller->finished(); }, then);
   }
 
+  //! A request on the public route `name` that only one version has.
+  std::string VersionRequest(const std::string& name) const {
+    return absl::StrCat("GET /", name,
+                        "/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: ",
+                        callers_.size(), "\r\n\r\n");
+  }
+
   //! Calls `then` once requests on the public route `name` are served.
   void AwaitRoute(const std::string& name, const std::function<void()>& then) {
-    Caller* caller = Send(absl::StrCat("GET /", name,
-                                       "/ HTTP/1.1\r\nHost: h.example\r\n"
-                                       "X-Request-Id: ",
-                                       callers_.size(), "\r\n\r\n"));
+    Caller* caller = Send(VersionRequest(name));
     AwaitOver(caller, [=, this] {
       if (caller->status() == 404) {
         loop_.After(Millis(20), [=, this] { AwaitRoute(name, then); });
@@ -450,30 +454,61 @@
   EXPECT_EQ(after->status(), 200);
 }
 
+//! A peer that reports one version of the configuration and serves another one.
+class ReportingPeer {
+ public:
+  ReportingPeer(EventLoop* loop,
+                const std::string& recipient,
+                int64_t reported_version,
+                int64_t served_version)
+      : loop_(loop),
+        log_(loop, STDOUT_FILENO),
+        address_(FreeAddress()),
+        exchange_(loop, &log_, &metrics_, *ListenTcp(address_), Hooks()),
+        gossip_(loop, *BindUdp(address_), [](const PeerGossip::Report&) {}),
+        served_version_(served_version) {
+    gossip_.SetPeers({recipient});
+    report_.incarnation = 1;
+    report_.config_version = reported_version;
+    report_.directory_age_ms = 100000;
+    report_.address = address_;
+  }
+  ~ReportingPeer() { loop_->Cancel(&timer_); }
+
+  //! Sends a report now and every 50 ms from now on.
+  void SendReports() {
+    gossip_.Send(report_);
+    timer_ = loop_->After(Millis(50), [this] { SendReports(); });
+  }
+
+  int served() const { return served_; }
+
+ private:
+  PeerExchange::Hooks Hooks() {
+    PeerExchange::Hooks hooks;
+    hooks.config = [this] {
+      ++served_;
+      return PeerExchange::Records{
+          {platform::kConfigKey, SampleConfig(served_version_, 1000000)}};
+    };
+    hooks.endpoints = [] { return PeerExchange::Records(); };
+    return hooks;
+  }
+
+  EventLoop* loop_;
+  EventLog log_;
+  Metrics metrics_;
+  std::string address_;
+  PeerExchange exchange_;
+  PeerGossip gossip_;
+  PeerGossip::Report report_;
+  int64_t served_version_;
+  int served_ = 0;
+  EventLoop::TimerId timer_{};
+};
+
 TEST_F(FrontTest, ConfigurationOfPeerIsTakenWhileReadOfStoreHangs) {
-  Metrics metrics;
-  EventLog log(&loop_, STDOUT_FILENO);
-  const std::string peer_address = FreeAddress();
-  PeerExchange::Hooks hooks;
-  hooks.config = [] {
-    return PeerExchange::Records{
-        {platform::kConfigKey, SampleConfig(3, 1000000)}};
-  };
-  hooks.endpoints = [] { return PeerExchange::Records(); };
-  PeerExchange exchange(&loop_, &log, &metrics, *ListenTcp(peer_address),
-                        hooks);
-  PeerGossip gossip(&loop_, *BindUdp(peer_address),
-                    [](const PeerGossip::Report&) {});
-  gossip.SetPeers({settings_.peers_address});
-  PeerGossip::Report report;
-  report.incarnation = 1;
-  report.config_version = 3;
-  report.directory_age_ms = 100000;
-  report.address = peer_address;
-  std::function<void()> send_reports = [&] {
-    gossip.Send(report);
-    loop_.After(Millis(50), send_reports);
-  };
+  ReportingPeer peer(&loop_, settings_.peers_address, 3, 3);
   Millis first_report_at;
   Run([&] {
     // The pending read still gets version 2; the next one gets no answer for
@@ -482,13 +517,34 @@
     store_.faults().unresponsive = true;
     AwaitRoute("version-2", [&] {
       first_report_at = loop_.Now();
-      send_reports();
+      peer.SendReports();
       AwaitRoute("version-3", [] { Stop(); });
     });
   });
   EXPECT_LT(in_force_at_ - first_report_at, Millis(2000));
 }
 
+TEST_F(FrontTest, OlderConfigurationOfPeerDoesNotReplaceNewer) {
+  ReportingPeer peer(&loop_, settings_.peers_address, 3, 1);
+  Caller* newer = nullptr;
+  Caller* older = nullptr;
+  Run([&] {
+    PutConfig(2, 1000000);
+    store_.faults().unresponsive = true;
+    AwaitRoute("version-2", [&] {
+      peer.SendReports();
+      Await([&] { return peer.served() > 1; },
+            [&] {
+              newer = Send(VersionRequest("version-2"));
+              older = Send(VersionRequest("version-1"));
+              AwaitOver(newer, [&] { AwaitOver(older, [] { Stop(); }); });
+            });
+    });
+  });
+  EXPECT_NE(newer->status(), 404);
+  EXPECT_EQ(older->status(), 404);
+}
+
 TEST_F(FrontTest, SharesGrowSoonAfterStoreWasSilent) {
   UseAsEngines();
   // 30,000 prompt tokens instead of 1,000: larger than any share that is held
