--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -57,6 +57,15 @@
 //! by a few tenths of its value.
 constexpr double kEventTimeoutFraction = 0.85;
 
+//! Returns the ids of all parts but the last, separated by commas.
+std::string SharedPartIds(const std::optional<PromptShape>& prompt) {
+  std::string ids;
+  for (size_t i = 0; prompt && i + 1 < prompt->parts.size(); ++i) {
+    absl::StrAppend(&ids, i == 0 ? "" : ",", prompt->parts[i].id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 RelayTask::RelayTask(RelayContext* context,
@@ -364,7 +373,9 @@
         .Add("outcome", static_cast<int>(outcome))
         .AddQuoted("reason", reason)
         .Add("sent", sent)
-        .Add("events", splitter_.event_count());
+        .Add("events", splitter_.event_count())
+        .Add("content", content_hash_)
+        .Add("parts", SharedPartIds(prompt_));
   }
   ReportOutcome(outcome);
   call_.reset();
