Block a prompt part that crashes every endpoint which begins to answer it

Crashes were kept by the hash of the whole content, so each of those requests was new to the guard, and a single broken connection did not count unless this instance saw the endpoint down too.

PromptPartGuard keeps which shared parts were open without an answer when an endpoint crashed, and exchanges that with the peers. Any answer clears the parts of its request, so only a part that is never answered reaches three crashes; crashes at the same time count once, and if a later part was in all of them, only that part is blocked, since sound requests share those before it. Blocks last 30 s from the last crash and double with each further one. A crash that a peer reports now confirms a connection that this instance alone has lost.

CrashingPartTest failed before: five of five engines crashed, a sound request got 503; now three crash and sound requests are served.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -1,6 +1,7 @@
 #include "coordination/crash_guard.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace tamaracktrail {
 
@@ -25,13 +26,14 @@
 
 void CrashGuard::OnConnectionLost(Millis now,
                                   uint64_t content,
-                                  uint64_t endpoint) {
+                                  uint64_t endpoint,
+                                  std::vector<uint64_t> unanswered_parts) {
   std::vector<LostConnection>& lost = lost_connections_[endpoint];
   const bool other_content_lost =
       std::any_of(lost.begin(), lost.end(), [&](const LostConnection& it) {
         return now - it.at <= kCrashWindow && it.content != content;
       });
-  lost.push_back({now, content});
+  lost.push_back({now, content, std::move(unanswered_parts)});
   const auto down = last_down_.find(endpoint);
   if (other_content_lost ||
       (down != last_down_.end() && now - down->second <= kCrashWindow)) {
@@ -48,23 +50,28 @@
   for (const LostConnection& lost : it->second) {
     if (now - lost.at <= kCrashWindow) {
       AddCrash(now, {lost.content, endpoint});
+      parts_.OnCrash(now, lost.at, endpoint, lost.unanswered_parts);
     }
   }
   lost_connections_.erase(it);
 }
 
 void CrashGuard::OnReported(Millis now, const Crash& crash) {
-  AddCrash(now, crash);
+  if (AddCrash(now, crash)) {
+    OnEndpointDown(now, crash.second);
+  }
 }
 
-void CrashGuard::AddCrash(Millis now, const Crash& crash) {
+bool CrashGuard::AddCrash(Millis now, const Crash& crash) {
   if (contents_.size() >= kMaxContents && !contents_.contains(crash.first)) {
     contents_.erase(contents_.begin());
   }
   Content& content = contents_[crash.first];
-  if (content.endpoints.insert(crash.second).second) {
-    content.last_crash = now;
+  if (!content.endpoints.insert(crash.second).second) {
+    return false;
   }
+  content.last_crash = now;
+  return true;
 }
 
 bool CrashGuard::IsBlocked(uint64_t content) const {
@@ -98,6 +105,7 @@
   std::erase_if(contents_, [&](const auto& it) {
     return now - it.second.last_crash > kContentRetention;
   });
+  parts_.OnTick(now);
   std::erase_if(last_down_,
                 [&](const auto& it) { return now - it.second > kCrashWindow; });
   std::erase_if(lost_connections_, [&](const auto& it) {
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/prompt_part_guard.h"
 #include "state/millis.h"
 
 namespace tamaracktrail {
@@ -25,13 +26,19 @@
   using Crash = std::pair<uint64_t, uint64_t>;
 
   //! The connection of a request broke after it was sent to an endpoint.
-  void OnConnectionLost(Millis now, uint64_t content, uint64_t endpoint);
+  //! `unanswered_parts` are the hashes of its prompt's shared parts if no part
+  //! of the answer had arrived.
+  void OnConnectionLost(Millis now,
+                        uint64_t content,
+                        uint64_t endpoint,
+                        std::vector<uint64_t> unanswered_parts = {});
 
   //! A connection attempt to the endpoint failed, or an idle connection to it
   //! broke.
   void OnEndpointDown(Millis now, uint64_t endpoint);
 
-  //! A peer reported a crash.
+  //! A peer reported a crash. It shows that the endpoint is down, also for
+  //! connections that only this instance has lost.
   void OnReported(Millis now, const Crash& crash);
 
   //! Whether the content must not be sent again.
@@ -46,22 +53,29 @@
   //! Drops expired state.
   void OnTick(Millis now);
 
+  //! Prompt parts that the crashes implicate.
+  PromptPartGuard& parts() { return parts_; }
+  const PromptPartGuard& parts() const { return parts_; }
+
  private:
   struct LostConnection {
     Millis at;
     uint64_t content = 0;
+    std::vector<uint64_t> unanswered_parts;
   };
   struct Content {
     std::set<uint64_t> endpoints;
     Millis last_crash;
   };
 
-  void AddCrash(Millis now, const Crash& crash);
+  //! Returns whether the crash was not known yet.
+  bool AddCrash(Millis now, const Crash& crash);
 
   std::map<uint64_t, std::vector<LostConnection>>
       lost_connections_;                  //!< By endpoint.
   std::map<uint64_t, Millis> last_down_;  //!< By endpoint.
   std::map<uint64_t, Content> contents_;
+  PromptPartGuard parts_;
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -9,6 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "coordination/endpoint_load.h"
+#include "coordination/prompt_part_guard.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/io_handler.h"
@@ -35,12 +36,14 @@
     //! Hashes of the content and of the endpoint for each crash; see
     //! CrashGuard.
     std::vector<std::pair<uint64_t, uint64_t>> crashes;
+    //! Crashes that implicate prompt parts.
+    std::vector<PromptPartGuard::Crash> part_crashes;
 
-    //! Whether the reports agree in configuration version, loads and crashes;
-    //! the other fields are not compared.
+    //! Whether the reports agree in configuration version, loads and
+    //! crashes; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version && loads == other.loads &&
-             crashes == other.crashes;
+             crashes == other.crashes && part_crashes == other.part_crashes;
     }
 
     friend bool operator==(const Report&, const Report&) = default;
@@ -48,7 +51,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms, address,
-              loads, crashes);
+              loads, crashes, part_crashes);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -177,6 +177,10 @@
 }
 
 void RelayTask::Attempt() {
+  if (!may_have_run_ && CrashesEndpoints()) {
+    RefuseWithRetryAfter("crashes_endpoints", kMaxRetryAfter);
+    return;
+  }
   const Millis now = context_->loop->Now();
   Placement::Request placement_request;
   placement_request.service = service_;
@@ -236,6 +240,8 @@
   call_ = std::make_unique<EndpointCall>(context_->loop, &context_->pool,
                                          options, this);
   answer_outcome_ = AttemptOutcome::kAnswered;
+  parts_cleared_ = false;
+  events_before_attempt_ = splitter_.event_count();
   call_->Start(RequestHead(choice), request_.body);
   StartFirstByteTimer(choice.predicted);
 }
@@ -332,7 +338,13 @@
   progress.head_sent = head_sent_;
   progress.event_sent = splitter_.event_count() > 0;
   progress.retry_allowed = context_->RetryBudgetFor(service_->name).HasRetry();
-  progress.crashes_endpoints = context_->crashes.IsSuspect(content_hash_);
+  progress.crashes_endpoints =
+      context_->crashes.IsSuspect(content_hash_) ||
+      (!parts_cleared_ &&
+       std::any_of(shared_parts_.begin(), shared_parts_.end(),
+                   [&](uint64_t part) {
+                     return context_->crashes.parts().IsSuspect(part);
+                   }));
   const auto usable =
       context_->registry.Usable(context_->loop->Now(), service_->name);
   progress.has_untried_endpoint =
@@ -357,8 +369,9 @@
   context_->congestion.OnAttempt(context_->loop->Now(),
                                  outcome == AttemptOutcome::kNotSent);
   if (outcome == AttemptOutcome::kBroken && ticket_) {
-    context_->crashes.OnConnectionLost(context_->loop->Now(), content_hash_,
-                                       ticket_->incarnation_hash);
+    context_->crashes.OnConnectionLost(
+        context_->loop->Now(), content_hash_, ticket_->incarnation_hash,
+        parts_cleared_ ? std::vector<uint64_t>() : shared_parts_);
   }
   if (outcome == AttemptOutcome::kNotSent && ticket_) {
     context_->crashes.OnEndpointDown(context_->loop->Now(),
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -66,6 +66,9 @@
   //! Selects the service by the weights of the route, reads the prompt's shape,
   //! and refuses content that has crashed endpoints.
   bool AdmitToService();
+  //! Whether an endpoint that runs the request is expected to crash. Logs the
+  //! evidence.
+  bool CrashesEndpoints() const;
   void ReserveOrWait();
   void RefuseForShare();
 
@@ -90,6 +93,8 @@
   AttemptOutcome Classify(const HttpReader& answer) const;
   bool IsStreamAnswer() const;
   void ForwardEvents(const std::string& bytes);
+  //! The endpoint has answered: the prompt's parts don't crash it.
+  void ClearParts();
   void DeliverBuffered();
   void EndStream();
 
@@ -114,9 +119,10 @@
   std::string request_id_;
   std::optional<PromptShape> prompt_;
   std::vector<uint64_t> prefix_hashes_;
-  uint64_t content_hash_ = 0;  //!< Recognizes repeats of the request.
-  Millis deadline_;            //!< Of the caller or the route.
-  int rank_ = 0;               //!< The lowest is the most urgent.
+  std::vector<uint64_t> shared_parts_;  //!< Hashes of the shared parts' ids.
+  uint64_t content_hash_ = 0;           //!< Recognizes repeats of the request.
+  Millis deadline_;                     //!< Of the caller or the route.
+  int rank_ = 0;                        //!< The lowest is the most urgent.
   bool finished_ = false;
 
   int64_t reserved_ = 0;
@@ -136,6 +142,8 @@
   bool head_sent_ = false;
   //! A 2xx answer was sent from the buffer.
   bool sent_buffered_success_ = false;
+  bool parts_cleared_ = false;  //!< During the present attempt.
+  int64_t events_before_attempt_ = 0;
   bool not_event_stream_ = false;  //!< By the Content-Type of the answer.
   SseSplitter splitter_;
   Millis first_event_at_;
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -7,6 +7,7 @@
 #include "state/digest.h"
 #include "state/routing_config.h"
 #include "transport/event_loop.h"
+#include "transport/log_line.h"
 #include "transport/relay/relay_context.h"
 #include "transport/relay/relay_limits.h"
 #include "transport/relay/relay_task.h"
@@ -100,16 +101,35 @@
   prompt_ = context_->dialect.parse_prompt(request_.fields);
   if (prompt_) {
     prefix_hashes_ = PrefixCacheIndex::HashPrefixes(prompt_->parts);
+    // The last part belongs to this request or its session alone.
+    for (size_t i = 0; i + 1 < prompt_->parts.size(); ++i) {
+      shared_parts_.push_back(StableHash(prompt_->parts[i].id));
+    }
   }
   content_hash_ = StableHash(
       *request_.body,
       StableHash(absl::StrCat(request_.method, " ", request_.target, " ",
                               organisation_ ? organisation_->name : "")));
-  if (context_->crashes.IsBlocked(content_hash_)) {
+  if (CrashesEndpoints()) {
     RefuseWithRetryAfter("crashes_endpoints", kMaxRetryAfter);
     return false;
   }
   return true;
 }
 
+bool RelayTask::CrashesEndpoints() const {
+  const Millis now = context_->loop->Now();
+  for (size_t i = 0; i < shared_parts_.size(); ++i) {
+    if (context_->crashes.parts().IsBlocked(now, shared_parts_[i])) {
+      LogLine(context_->log, "part_blocked")
+          .Add("id", request_id_)
+          .Add("part", prompt_->parts[i].id)
+          .Add("crashes",
+               context_->crashes.parts().CountCrashes(shared_parts_[i]));
+      return true;
+    }
+  }
+  return context_->crashes.IsBlocked(content_hash_);
+}
+
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -113,10 +113,24 @@
   }
 }
 
+void RelayTask::ClearParts() {
+  if (parts_cleared_) {
+    return;
+  }
+  parts_cleared_ = true;
+  for (const uint64_t it : shared_parts_) {
+    context_->crashes.parts().OnAnswered(context_->loop->Now(), it);
+  }
+}
+
 void RelayTask::ForwardEvents(const std::string& bytes) {
   if (bytes.empty()) {
     return;
   }
+  // An endpoint that crashes at its first token may still send it.
+  if (splitter_.event_count() > events_before_attempt_ + 1) {
+    ClearParts();
+  }
   const Millis now = context_->loop->Now();
   if (!head_sent_) {
     head_sent_ = true;
@@ -144,6 +158,9 @@
     FinishAttempt(answer_outcome_, "the stream was not resumed");
     return;
   }
+  if (answer_outcome_ == AttemptOutcome::kAnswered) {
+    ClearParts();
+  }
   FinishAttempt(answer_outcome_, "answer");
 }
 
--- a/tests/coordination/crash_guard_test.cpp
+++ b/tests/coordination/crash_guard_test.cpp
@@ -55,5 +55,14 @@
   EXPECT_FALSE(guard.IsBlocked(kContent));
 }
 
+TEST(CrashGuardTest, CrashSeenByPeerConfirmsOwnLostConnection) {
+  CrashGuard guard;
+  guard.OnConnectionLost(kNow, kContent, kFirstEndpoint, {7});
+  EXPECT_FALSE(guard.IsSuspect(kContent));
+  guard.OnReported(kNow + Millis(200), {kContent + 1, kFirstEndpoint});
+  EXPECT_TRUE(guard.IsSuspect(kContent));
+  EXPECT_TRUE(guard.parts().IsSuspect(7));
+}
+
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -361,6 +362,79 @@
             "id: 4\ndata: x\n\nid: 5\ndata: x\n\n");
 }
 
+//! Five engines that crash when they begin to answer a request with the part
+//! "dead".
+class CrashingPartTest : public FrontTest {
+ protected:
+  CrashingPartTest() : c_(&loop_, "c"), d_(&loop_, "d"), e_(&loop_, "e") {
+    for (StandInEndpoint* it : engines_) {
+      it->behaviour().crash_on_part = "dead";
+      it->behaviour().events = 100000;
+      PutEndpoint(*it, "llm", 2, false);
+    }
+  }
+
+  //! `id` has four characters and is the body too, so that no two requests have
+  //! the same content.
+  static std::string RequestWithParts(const std::string& id,
+                                      const std::string& parts) {
+    return absl::StrReplaceAll(SampleRequest("report", id),
+                               {{"aa:600,bb:300", parts}, {"body", id}});
+  }
+
+  int64_t crashed() const {
+    return std::count_if(std::begin(engines_), std::end(engines_),
+                         [](StandInEndpoint* it) { return it->crashed(); });
+  }
+
+  //! Opens sound streams on all engines, then sends a request with the part
+  //! that crashes the engine which gets it; repeats that `rounds` times.
+  void CrashEngines(int rounds, const std::function<void()>& then) {
+    if (rounds == 0) {
+      then();
+      return;
+    }
+    std::vector<Caller*> streams;
+    for (int i = 0; i < 12; ++i) {
+      streams.push_back(
+          Send(RequestWithParts(absl::StrCat("s", rounds, i + 10),
+                                absl::StrCat("aa:600,b", i, ":30"))));
+    }
+    const auto all_began = [streams] {
+      return std::all_of(streams.begin(), streams.end(), [](Caller* it) {
+        return it->finished() || it->status() == 200;
+      });
+    };
+    Await(all_began, [=, this] {
+      last_ = Send(
+          RequestWithParts(absl::StrCat("fee", rounds), "aa:600,dead:300"));
+      AwaitOver(last_, [=, this] {
+        loop_.After(Millis(700), [=, this] { CrashEngines(rounds - 1, then); });
+      });
+    });
+  }
+
+  StandInEndpoint c_;
+  StandInEndpoint d_;
+  StandInEndpoint e_;
+  StandInEndpoint* engines_[5] = {&a_, &b_, &c_, &d_, &e_};
+  Caller* last_ = nullptr;
+};
+
+TEST_F(CrashingPartTest, RequestsWithThePartAreRefusedAndSoundOnesAreServed) {
+  Caller* sound = nullptr;
+  Run([&] {
+    CrashEngines(5, [&] {
+      sound = Send(RequestWithParts("last", "aa:600,b1:30"));
+      Await([&] { return sound->finished() || sound->status() == 200; },
+            [] { Stop(); });
+    });
+  });
+  EXPECT_EQ(crashed(), 3);
+  EXPECT_EQ(last_->status(), 503);
+  EXPECT_EQ(sound->status(), 200);
+}
+
 TEST_F(FrontTest, BrokenStreamThatIsNotResumableIsLeftIncomplete) {
   UseAsEngines();
   for (StandInEndpoint* it : {&a_, &b_}) {
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "protocol/text.h"
@@ -41,6 +42,12 @@
     }
     endpoint_->started_requests_.push_back(request_);
     running_ = true;
+    const auto parts = request_.fields.Find("X-Prompt-Prefix");
+    if (!behaviour.crash_on_part.empty() && parts &&
+        absl::StrContains(AsAbsl(*parts), behaviour.crash_on_part)) {
+      endpoint_->loop_->Defer([it = endpoint_] { it->server_.reset(); });
+      return;
+    }
     if (behaviour.unresponsive) {
       return;
     }
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -29,6 +29,9 @@
     bool unresponsive = false;     //!< Runs the request and never answers.
     bool unsigned_answer = false;  //!< Answers without a signature.
     int abort_after = -1;  //!< Events before a stream is aborted; -1: never.
+    //! Crashes when it begins a request whose prompt has this part: loses all
+    //! connections and accepts none any more. Empty: never.
+    std::string crash_on_part;
   };
 
   //! Listens on a free port of 127.0.0.1.
@@ -54,6 +57,7 @@
   int RunCount(const std::string& request_id) const;
   //! Number of running requests whose connection was closed before the end.
   int abandoned() const { return abandoned_; }
+  bool crashed() const { return server_ == nullptr; }
 
  private:
   class Task;
