Treat a stream without framing that ends inside an event as broken off

A caller got a part of an event as the end of a complete stream: an answer with neither a length nor chunks ends with its connection, so a closed connection counted as its end wherever it came.

Such a stream is broken off if an event is incomplete when the connection ends; it is resumed where that is allowed, else the caller's answer is cut. StreamWithoutFramingThatEndsInsideAnEventIsNotComplete failed before and passes.

--- a/src/protocol/sse_splitter.h
+++ b/src/protocol/sse_splitter.h
@@ -1,6 +1,7 @@
 #ifndef PROTOCOL_SSE_SPLITTER_H_
 #define PROTOCOL_SSE_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
   //! Removes and returns the bytes of an incomplete event.
   std::string TakeIncompleteEvent();
 
+  //! Size of the bytes of an incomplete event.
+  size_t incomplete_bytes() const { return buffer_.size(); }
+
   //! Number of events returned so far.
   int64_t event_count() const { return event_count_; }
   //! Id of the last returned event that has one; empty if there is none.
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -144,7 +144,8 @@
   bool sent_buffered_success_ = false;
   bool parts_cleared_ = false;  //!< During the present attempt.
   int64_t events_before_attempt_ = 0;
-  bool not_event_stream_ = false;  //!< By the Content-Type of the answer.
+  bool ends_with_connection_ = false;  //!< The answer has no other end.
+  bool not_event_stream_ = false;      //!< By the Content-Type of the answer.
   SseSplitter splitter_;
   Millis first_event_at_;
   Millis last_event_at_;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -66,6 +66,7 @@
     context_->registry.OnFirstByte(context_->loop->Now(), &*ticket_);
   }
   context_->loop->Cancel(&first_byte_timer_);
+  ends_with_connection_ = answer.ends_with_connection();
   if (head_sent_) {
     return true;
   }
@@ -158,6 +159,13 @@
     FinishAttempt(answer_outcome_, "the stream was not resumed");
     return;
   }
+  const bool ends_inside_event = IsStreamAnswer() && !not_event_stream_ &&
+                                 ends_with_connection_ &&
+                                 splitter_.incomplete_bytes() > 0;
+  if (ends_inside_event) {
+    FinishAttempt(AttemptOutcome::kBroken, "the stream ended inside an event");
+    return;
+  }
   if (answer_outcome_ == AttemptOutcome::kAnswered) {
     ClearParts();
   }
