Limit the size of one event of a stream

An endpoint that sends an event without end made the instance buffer and search all of it until the deadline: 30 MB within 1.2 s in the test, far more than the memory of an instance within the 15 s that a route may allow. Such a process is killed, and the callers of all its requests lose their answers.

An event above 256 KB now counts as a protocol violation, which ends the attempt. EventWithoutEndIsBrokenOff failed before and passes.

--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -24,6 +24,9 @@
 //! truncated one can be replaced by the answer of another attempt.
 constexpr size_t kMaxBufferedAnswerBytes = 1024 * 1024;
 
+//! Size limit of one event of a stream; events have a few kilobytes at most.
+constexpr size_t kMaxEventBytes = 256 * 1024;
+
 //! Callers honour a Retry-After of up to a third of the time that remains until
 //! their deadline. The fraction is smaller, as part of that time has passed
 //! when the answer arrives.
@@ -96,6 +99,9 @@
     const std::string bytes = std::move(*body);
     body->clear();
     ForwardEvents(splitter_.Feed(bytes));
+    if (splitter_.incomplete_bytes() > kMaxEventBytes) {
+      FinishAttempt(AttemptOutcome::kBroken, "an event is too large");
+    }
     return;
   }
   buffered_ += *body;
