Pass no body on that is not the endpoint's answer to the caller

Callers could get bytes that are no answer of the endpoint: an unsigned 200 and a refusal were passed on once their body exceeded 1 MB, and the body of a refusal was written into a stream that was being resumed.

Only the size of the buffer and whether the head was sent decided what happened to a body. Now only the body of an answer is buffered or passed on, and that of a signed failure unless a stream is being resumed; other bodies are discarded, and the attempt ends when they exceed 1 MB. UnsignedBodyWithoutEndIsNotPassedOn, RefusalWithBodyWithoutEndIsNotPassedOn and the new BodyOfRefusalIsNotMixedIntoResumedStream failed before and pass.

--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_RELAY_RELAY_TASK_H_
 #define TRANSPORT_RELAY_RELAY_TASK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -92,6 +93,8 @@
   void OnCallFailed(const absl::Status& status, bool sent) override;
   AttemptOutcome Classify(const HttpReader& answer) const;
   bool IsStreamAnswer() const;
+  //! Whether the body of the present answer may be sent to the caller.
+  bool IsForCaller() const;
   void ForwardEvents(const std::string& bytes);
   //! The endpoint has answered: the prompt's parts don't crash it.
   void ClearParts();
@@ -144,6 +147,8 @@
   bool sent_buffered_success_ = false;
   bool parts_cleared_ = false;  //!< During the present attempt.
   int64_t events_before_attempt_ = 0;
+  bool resuming_ = false;       //!< The present attempt continues a stream.
+  size_t discarded_bytes_ = 0;  //!< Of bodies that are not for the caller.
   bool ends_with_connection_ = false;  //!< The answer has no other end.
   bool not_event_stream_ = false;      //!< By the Content-Type of the answer.
   SseSplitter splitter_;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -94,6 +94,11 @@
          answer_outcome_ == AttemptOutcome::kAnswered;
 }
 
+bool RelayTask::IsForCaller() const {
+  return answer_outcome_ == AttemptOutcome::kAnswered ||
+         (answer_outcome_ == AttemptOutcome::kFailed && !resuming_);
+}
+
 void RelayTask::OnAnswerBody(std::string* body) {
   if (IsStreamAnswer() && !not_event_stream_) {
     const std::string bytes = std::move(*body);
@@ -104,6 +109,14 @@
     }
     return;
   }
+  if (!IsForCaller()) {
+    discarded_bytes_ += body->size();
+    body->clear();
+    if (discarded_bytes_ > kMaxBufferedAnswerBytes) {
+      FinishAttempt(answer_outcome_, "the body is too large");
+    }
+    return;
+  }
   buffered_ += *body;
   body->clear();
   if (head_sent_ && !buffered_.empty()) {
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -507,6 +507,34 @@
   EXPECT_LT(raw_->sent(), size_t{16 * 1024 * 1024});
 }
 
+TEST_F(RawAnswerTest, BodyOfRefusalIsNotMixedIntoResumedStream) {
+  UseAsEngines();
+  a_.behaviour().abort_after = 2;
+  raw_ = std::make_unique<RawEndpoint>(
+      &loop_,
+      "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\n"
+      "busy",
+      "");
+  store_.Put(platform::kEndpointTopic, "b",
+             b_.DirectoryEntry("llm", 3, false, raw_->address()));
+  std::vector<Caller*> all;
+  Run([&] {
+    for (int i = 0; i < 8; ++i) {
+      all.push_back(Send(SampleRequest("ask", absl::StrCat("id-", i))));
+    }
+    Await(
+        [&] {
+          return std::all_of(all.begin(), all.end(),
+                             [](Caller* it) { return it->finished(); });
+        },
+        [] { Stop(); });
+  });
+  EXPECT_GT(raw_->sent(), 0U);
+  for (Caller* it : all) {
+    EXPECT_EQ(it->answer().body().find("busy"), std::string::npos);
+  }
+}
+
 TEST_F(RawAnswerTest, HeadWithoutEndFails) {
   Caller* caller =
       RunAgainst("fee", "HTTP/1.1 200 OK\r\n", "X-Filler: xxxxxxxxxxxxxx\r\n");
