--- a/tests/platform/topic_reader_test.cpp
+++ b/tests/platform/topic_reader_test.cpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,7 @@
             [this](const StoreRecord& it) {
               read_at_ = loop_.Now();
               values_.push_back(it.value);
+              values_by_key_[it.key] = it.value;
             },
             [](const std::vector<std::string>&) {}) {}
   ~TopicReaderTest() override { close(log_fd_); }
@@ -59,6 +61,7 @@
   StoreClient client_;
   TopicReader reader_;
   std::vector<std::string> values_;
+  std::map<std::string, std::string> values_by_key_;  //!< The last of each.
   Millis read_at_;
 };
 
@@ -94,6 +97,30 @@
   EXPECT_EQ(values_, (std::vector<std::string>{"first", "second"}));
 }
 
+TEST_F(TopicReaderTest, LatePageOfFirstTryDoesNotHideLaterRemoval) {
+  store_.SetPageSize(1);
+  store_.Put(kOperatorTopic, "a", "kept");
+  store_.Put(kOperatorTopic, "b", "removed");
+  reader_.Start();
+  // The first page is answered at once, the second one, which still has "b",
+  // after its call has failed. The listing begins again without "b".
+  store_.faults().answer_delay = Millis(100);
+  loop_.After(Millis(50), [&] { store_.faults().answer_delay = Millis(1350); });
+  loop_.After(Millis(1000), [&] {
+    store_.faults().answer_delay = Millis(0);
+    store_.Put(kOperatorTopic, "b", "");
+    store_.Put(kOperatorTopic, "c", "last");
+    RunUntilRead("last", Millis(8000));
+  });
+  loop_.Run();
+  const auto last_of = [&](const std::string& key) {
+    const auto it = values_by_key_.find(key);
+    return it == values_by_key_.end() ? "" : it->second;
+  };
+  EXPECT_EQ(last_of("a"), "kept");
+  EXPECT_EQ(last_of("b"), "");
+}
+
 TEST_F(TopicReaderTest, DeadIdleConnectionsDelayOneReadOnly) {
   FaultProxy proxy(&loop_, store_.address());
   StoreClient client(&loop_, proxy.address(), &metrics_);
--- a/tests/support/stand_in_store.cpp
+++ b/tests/support/stand_in_store.cpp
@@ -90,6 +90,15 @@
   }
 
   void Reply(const Answer& answer) {
+    const Millis delay = store_->faults_.answer_delay;
+    if (delay > Millis(0)) {
+      timer_ = store_->loop_->After(delay, [this, answer] { Send(answer); });
+      return;
+    }
+    Send(answer);
+  }
+
+  void Send(const Answer& answer) {
     AnswerHead head;
     head.status = answer.first;
     head.reason = "Answer";
@@ -216,15 +225,18 @@
 StandInStore::Answer StandInStore::ListNewest(
     const std::map<std::string, std::string>& query) {
   const Topic& topic = topics_[query.at("topic")];
+  const auto after = query.find("after");
   json items = json::array();
-  for (const auto& [key, record] : topic.newest) {
+  auto it = after == query.end() ? topic.newest.begin()
+                                 : topic.newest.upper_bound(after->second);
+  for (; it != topic.newest.end() && items.size() < page_size_; ++it) {
     items.push_back(
-        {{"key", key}, {"value", absl::Base64Escape(record.value)}});
+        {{"key", it->first}, {"value", absl::Base64Escape(it->second.value)}});
   }
-  return {
-      200,
-      json{{"items", items}, {"has_more", false}, {"end_offset", topic.end()}}
-          .dump()};
+  return {200, json{{"items", items},
+                    {"has_more", it != topic.newest.end()},
+                    {"end_offset", topic.end()}}
+                   .dump()};
 }
 
 }  // namespace tamaracktrail
--- a/tests/support/stand_in_store.h
+++ b/tests/support/stand_in_store.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SUPPORT_STAND_IN_STORE_H_
 #define TESTS_SUPPORT_STAND_IN_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -25,8 +26,9 @@
     bool refuse = false;        //!< Answers 503 without effect.
     bool unresponsive = false;  //!< No answer and no effect.
     bool lose_append_answers =
-        false;     //!< Appends take effect and get no answer.
-    Millis delay;  //!< Before each call is handled.
+        false;            //!< Appends take effect and get no answer.
+    Millis delay;         //!< Before each call is handled.
+    Millis answer_delay;  //!< Between a call's effect and its answer.
   };
 
   //! Listens on a free port of 127.0.0.1.
@@ -51,6 +53,9 @@
 
   uint64_t calls() const { return calls_; }
 
+  //! Sets the largest number of records in one page of a listing.
+  void SetPageSize(size_t n) { page_size_ = n; }
+
  private:
   class Task;
   //! Last append of a producer; a repeat of it gets the same answer.
@@ -84,6 +89,7 @@
   Metrics metrics_;
   std::string address_;
   Faults faults_;
+  size_t page_size_ = 500;
   uint64_t calls_ = 0;
   std::map<std::string, Topic> topics_;
   std::unique_ptr<RelayServer> server_;
