Report crashes of blocked prompt parts once a second

While a part is blocked, every report repeated the crashes that block it, up to 20 times a second to each peer, and looked each of them up again. Reports carry recent crashes as before; what blocks a part is repeated once a second, which is enough for instances that have started or were cut off. The tests of the guard pass unchanged.

--- a/src/coordination/prompt_part_guard.cpp
+++ b/src/coordination/prompt_part_guard.cpp
@@ -27,6 +27,9 @@
 
 //! News are repeated to the peers for this time, as reports may be lost.
 constexpr Millis kReportTime{2000};
+//! Crashes that block a part are repeated at this interval, for instances that
+//! have started or were cut off.
+constexpr Millis kRepeatInterval{1000};
 
 //! Parts of a prompt that are considered: one bit each.
 constexpr size_t kMaxParts = 32;
@@ -130,13 +133,17 @@
   }
 }
 
-std::vector<PromptPartGuard::Crash> PromptPartGuard::MakeReport(
-    Millis now,
-    size_t n) const {
+std::vector<PromptPartGuard::Crash> PromptPartGuard::MakeReport(Millis now,
+                                                                size_t n) {
+  std::set<uint64_t> blocked;
+  if (now - repeated_at_ >= kRepeatInterval) {
+    repeated_at_ = now;
+    blocked = BlockedParts(now);
+  }
   std::vector<Crash> report;
   for (auto it = records_.rbegin(); it != records_.rend() && report.size() < n;
        ++it) {
-    const auto blocks = [&](uint64_t part) { return IsBlocked(now, part); };
+    const auto blocks = [&](uint64_t part) { return blocked.contains(part); };
     if (now - it->changed_at <= kReportTime ||
         std::any_of(it->crash.parts.begin(), it->crash.parts.end(), blocks)) {
       report.push_back(it->crash);
@@ -146,6 +153,15 @@
   return report;
 }
 
+std::set<uint64_t> PromptPartGuard::BlockedParts(Millis now) const {
+  std::set<uint64_t> parts;
+  for (const Record& it : records_) {
+    parts.insert(it.crash.parts.begin(), it.crash.parts.end());
+  }
+  std::erase_if(parts, [&](uint64_t part) { return !IsBlocked(now, part); });
+  return parts;
+}
+
 std::vector<const PromptPartGuard::Record*> PromptPartGuard::RecordsOf(
     uint64_t part) const {
   std::vector<const Record*> found;
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <vector>
 
 #include "state/millis.h"
@@ -48,9 +49,9 @@
   //! A peer reported crashes.
   void OnReport(Millis now, const std::vector<Crash>& crashes);
 
-  //! Returns at most `n` crashes for the peers: recent news and what blocks a
-  //! part.
-  std::vector<Crash> MakeReport(Millis now, size_t n) const;
+  //! Returns at most `n` crashes for the peers: recent news, and once a second
+  //! what blocks a part.
+  std::vector<Crash> MakeReport(Millis now, size_t n);
 
   //! Whether requests with the part must not be sent. A block ends after a
   //! while, which doubles with each further crash.
@@ -74,8 +75,10 @@
 
   Record* Find(uint64_t endpoint, const std::vector<uint64_t>& parts);
   std::vector<const Record*> RecordsOf(uint64_t part) const;
+  std::set<uint64_t> BlockedParts(Millis now) const;
 
   std::vector<Record> records_;  //!< Oldest first.
+  Millis repeated_at_;           //!< Last report of what blocks a part.
 };
 
 }  // namespace tamaracktrail
