--- a/src/coordination/prompt_part_guard.cpp
+++ b/src/coordination/prompt_part_guard.cpp
@@ -25,7 +25,7 @@
 constexpr Millis kRetention = kMaxBlock * 2;
 constexpr size_t kMaxRecords = 512;
 
-//! News are repeated to the peers for this time, as reports may be lost.
+//! Changes are reported to the peers for this time, as reports may be lost.
 constexpr Millis kReportTime{2000};
 //! Crashes that block a part are repeated at this interval, for instances that
 //! have started or were cut off.
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -49,8 +49,8 @@
   //! A peer reported crashes.
   void OnReport(Millis now, const std::vector<Crash>& crashes);
 
-  //! Returns at most `n` crashes for the peers: recent news, and once a second
-  //! what blocks a part.
+  //! Returns at most `n` crashes for the peers: recent changes, and once a
+  //! second what blocks a part.
   std::vector<Crash> MakeReport(Millis now, size_t n);
 
   //! Whether requests with the part must not be sent. A block ends after a
