Log how the endpoint's answer to a stream ended and how it was framed

The line answer_end has both, whether the answer was taken for an event stream, and the bytes after the last event; the metric endpoint_answers_total counts answers by framing. No change of logic: HttpReader::framing replaces ends_with_connection, and the reader's test asks it for the same.

--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -224,18 +224,17 @@
   return parser_->Done();
 }
 
-bool HttpReader::ends_with_connection() const {
-  return parser_->head_done && parser_->NeedsEnd();
+BodyFraming HttpReader::framing() const {
+  if (parser_->NeedsEnd()) {
+    return BodyFraming::kConnectionEnd;
+  }
+  return parser_->Chunked() ? BodyFraming::kChunks : BodyFraming::kLength;
 }
 
 bool HttpReader::keep_alive() const {
   return parser_->KeepAlive();
 }
 
-bool HttpReader::chunked() const {
-  return parser_->Chunked();
-}
-
 std::optional<uint64_t> HttpReader::content_length() const {
   return parser_->ContentLength();
 }
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "protocol/body_framing.h"
 #include "protocol/http_fields.h"
 
 namespace tamaracktrail {
@@ -39,10 +40,9 @@
   bool started() const;
   bool head_done() const;
   bool done() const;
-  //! Whether the body is delimited by the end of the connection.
-  bool ends_with_connection() const;
+  //! How the end of the body is recognised. Precondition: the head is done.
+  BodyFraming framing() const;
   bool keep_alive() const;
-  bool chunked() const;
   std::optional<uint64_t> content_length() const;
 
   const std::string& method() const;
--- a/src/transport/relay/endpoint_call.cpp
+++ b/src/transport/relay/endpoint_call.cpp
@@ -176,11 +176,16 @@
   discard_answer_ = false;
 }
 
+bool EndpointCall::EndsWithConnection() const {
+  return reader_->head_done() &&
+         reader_->framing() == BodyFraming::kConnectionEnd;
+}
+
 bool EndpointCall::FeedReader(bool ended) {
   absl::Status fed = reader_->Feed(&input_);
   if (fed.ok() && ended && !reader_->done()) {
-    fed = reader_->ends_with_connection() ? reader_->FeedEnd()
-                                          : absl::DataLossError("cut answer");
+    fed = EndsWithConnection() ? reader_->FeedEnd()
+                               : absl::DataLossError("cut answer");
   }
   if (!fed.ok()) {
     Fail(fed);
@@ -213,7 +218,7 @@
   // request has not been sent completely.
   const bool reusable = input_.empty() && stream_->pending_bytes() == 0 &&
                         !saw_mismatched_answer_ && reader_->keep_alive() &&
-                        !reader_->ends_with_connection();
+                        !EndsWithConnection();
   if (reusable) {
     stream_->PauseReading(false);
     pool_->Put(options_.endpoint, std::move(stream_), KeepAliveTime(*reader_));
--- a/src/transport/relay/endpoint_call.h
+++ b/src/transport/relay/endpoint_call.h
@@ -82,6 +82,8 @@
   bool ReadOnce(bool* ended);
   void ProcessInput(bool ended);
   void StartReader();
+  //! Whether the answer has neither a length nor chunks.
+  bool EndsWithConnection() const;
   bool FeedReader(bool ended);
   //! Returns false if the observer destroyed the call.
   bool NotifyObserver();
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -241,6 +241,7 @@
                                          options, this);
   answer_outcome_ = AttemptOutcome::kAnswered;
   parts_cleared_ = false;
+  answer_framing_.reset();
   resuming_ = head_sent_;
   discarded_bytes_ = 0;
   events_before_attempt_ = splitter_.event_count();
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -16,6 +16,7 @@
 #include "coordination/placement.h"
 #include "coordination/prompt_shape.h"
 #include "coordination/request_progress.h"
+#include "protocol/body_framing.h"
 #include "protocol/sse_splitter.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
@@ -110,6 +111,9 @@
   Millis Remaining() const;
 
   void SettleReservation();
+  //! Logs how the endpoint's answer ended, which tells a complete answer from
+  //! one that was broken off.
+  void LogAnswerEnd();
   void LogEnd(int status, const char* outcome, const std::string& reason);
 
   RelayContext* context_;
@@ -149,8 +153,9 @@
   int64_t events_before_attempt_ = 0;
   bool resuming_ = false;       //!< The present attempt continues a stream.
   size_t discarded_bytes_ = 0;  //!< Of bodies that are not for the caller.
-  bool ends_with_connection_ = false;  //!< The answer has no other end.
-  bool not_event_stream_ = false;      //!< By the Content-Type of the answer.
+  //! Of the present attempt's answer; unset before its head.
+  std::optional<BodyFraming> answer_framing_;
+  bool not_event_stream_ = false;  //!< By the Content-Type of the answer.
   SseSplitter splitter_;
   Millis first_event_at_;
   Millis last_event_at_;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -69,7 +69,7 @@
     context_->registry.OnFirstByte(context_->loop->Now(), &*ticket_);
   }
   context_->loop->Cancel(&first_byte_timer_);
-  ends_with_connection_ = answer.ends_with_connection();
+  answer_framing_ = answer.framing();
   if (head_sent_) {
     return true;
   }
@@ -173,14 +173,16 @@
 }
 
 void RelayTask::OnAnswerDone() {
+  LogAnswerEnd();
   if (head_sent_ && answer_outcome_ != AttemptOutcome::kAnswered) {
     // The endpoint did not resume the stream.
     FinishAttempt(answer_outcome_, "the stream was not resumed");
     return;
   }
-  const bool ends_inside_event = IsStreamAnswer() && !not_event_stream_ &&
-                                 ends_with_connection_ &&
-                                 splitter_.incomplete_bytes() > 0;
+  const bool ends_inside_event =
+      IsStreamAnswer() && !not_event_stream_ &&
+      answer_framing_ == BodyFraming::kConnectionEnd &&
+      splitter_.incomplete_bytes() > 0;
   if (ends_inside_event) {
     FinishAttempt(AttemptOutcome::kBroken, "the stream ended inside an event");
     return;
@@ -324,6 +326,25 @@
   reserved_ = 0;
 }
 
+void RelayTask::LogAnswerEnd() {
+  const char* framing = BodyFramingName(*answer_framing_);
+  context_->metrics->Count(
+      absl::StrCat("endpoint_answers_total{framing=\"", framing, "\"}"));
+  // Answers with a length are the rule, and their end is not in doubt.
+  if (answer_framing_ == BodyFraming::kLength && !head_sent_) {
+    return;
+  }
+  LogLine(context_->log, "answer_end")
+      .Add("id", request_id_)
+      .Add("endpoint", ticket_ ? ticket_->id : "")
+      .Add("framing", framing)
+      .Add("event_stream", !not_event_stream_)
+      .Add("begun", head_sent_)
+      .Add("resumed", resuming_)
+      .Add("events", splitter_.event_count() - events_before_attempt_)
+      .Add("rest_bytes", splitter_.incomplete_bytes() + buffered_.size());
+}
+
 void RelayTask::LogEnd(int status,
                        const char* outcome,
                        const std::string& reason) {
--- a/tests/protocol/http_reader_test.cpp
+++ b/tests/protocol/http_reader_test.cpp
@@ -105,7 +105,7 @@
   HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes);
   std::string buf = "HTTP/1.1 200 OK\r\n\r\nabc";
   ASSERT_TRUE(reader.Feed(&buf).ok());
-  EXPECT_TRUE(reader.ends_with_connection());
+  EXPECT_EQ(reader.framing(), BodyFraming::kConnectionEnd);
   EXPECT_FALSE(reader.done());
   EXPECT_TRUE(reader.FeedEnd().ok());
   EXPECT_TRUE(reader.done());
