Pass an answer with neither length nor chunks on as it came

Callers saw a stream that its endpoint had broken off as a complete answer.

Cause: an answer with neither a length nor chunks ends with its connection, and an endpoint that breaks it off ends the connection in the same way. The instance gave it chunks, or a length if it was buffered, and so told the caller that it was complete, which the instance did not know.

Such an answer now ends with the caller's connection too, so the caller knows as much as the instance. If the caller has been told another framing, as by the first attempt of a resumed stream, the stream is resumed again or the connection is reset. A stream that ends before its first event has been broken off.

--- a/src/transport/relay/answer_head.h
+++ b/src/transport/relay/answer_head.h
@@ -2,9 +2,9 @@
 #define TRANSPORT_RELAY_ANSWER_HEAD_H_
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
+#include "protocol/body_framing.h"
 #include "protocol/http_fields.h"
 
 namespace tamaracktrail {
@@ -15,8 +15,9 @@
   int status = 200;
   std::string reason;
   HttpFields fields;
-  std::optional<uint64_t> length;  //!< Of the body; unset for chunked coding.
-  bool close_connection = false;   //!< Close after this answer.
+  BodyFraming framing = BodyFraming::kChunks;
+  uint64_t length = 0;            //!< Of the body, if it is framed by length.
+  bool close_connection = false;  //!< Close after this answer.
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -135,16 +135,17 @@
 void CallerConnection::BeginAnswer(const AnswerHead& head) {
   CHECK(phase_ == Phase::kServing && !answer_begun_) << "event=second_answer";
   answer_begun_ = true;
-  chunked_ = !head.length.has_value();
-  close_after_ = !keep_alive_ || head.close_connection || server_->draining();
+  answer_framing_ = head.framing;
+  close_after_ = !keep_alive_ || head.close_connection || server_->draining() ||
+                 answer_framing_ == BodyFraming::kConnectionEnd;
   std::string text =
       absl::StrCat("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
   for (const HttpField& it : head.fields.all()) {
     absl::StrAppend(&text, it.name, ": ", it.value, "\r\n");
   }
-  if (head.length) {
-    absl::StrAppend(&text, "Content-Length: ", *head.length, "\r\n");
-  } else {
+  if (answer_framing_ == BodyFraming::kLength) {
+    absl::StrAppend(&text, "Content-Length: ", head.length, "\r\n");
+  } else if (answer_framing_ == BodyFraming::kChunks) {
     absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n");
   }
   if (close_after_) {
@@ -161,7 +162,7 @@
   if (bytes.empty() || is_head_request_) {
     return;
   }
-  if (chunked_) {
+  if (answer_framing_ == BodyFraming::kChunks) {
     stream_->Write(absl::StrFormat("%x\r\n", bytes.size()));
     stream_->Write(bytes);
     stream_->Write("\r\n");
@@ -172,7 +173,7 @@
 }
 
 void CallerConnection::EndAnswer() {
-  if (chunked_ && !is_head_request_) {
+  if (answer_framing_ == BodyFraming::kChunks && !is_head_request_) {
     stream_->Write("0\r\n\r\n");
   }
   stream_->Flush();
@@ -180,7 +181,10 @@
 }
 
 void CallerConnection::Answer(AnswerHead head, std::string_view body) {
-  head.length = body.size();
+  if (head.framing != BodyFraming::kConnectionEnd) {
+    head.framing = BodyFraming::kLength;
+    head.length = body.size();
+  }
   BeginAnswer(head);
   WriteBody(body);
   EndAnswer();
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "absl/status/status.h"
+#include "protocol/body_framing.h"
 #include "state/caller_limits.h"
 #include "state/millis.h"
 #include "transport/relay/answer_head.h"
@@ -36,12 +37,14 @@
   //! its answer has not begun.
   void BeginAnswer(const AnswerHead& head);
   //! Precondition: the answer has begun; the total stays within its length if
-  //! it has one.
+  //! it is framed by length.
   void WriteBody(std::string_view bytes);
-  //! Completes the answer. The task is destroyed after the handlers of this
-  //! wake-up.
+  //! Completes the answer: with the last chunk, or by closing the connection in
+  //! order if the answer has neither a length nor chunks. The task is destroyed
+  //! after the handlers of this wake-up.
   void EndAnswer();
-  //! Writes a complete answer. Precondition: as for `BeginAnswer`.
+  //! Writes a complete answer: with its length, unless `head` says that it ends
+  //! with the connection. Precondition: as for `BeginAnswer`.
   void Answer(AnswerHead head, std::string_view body);
   //! Resets the connection, so that the caller can't take a partial answer for
   //! a complete one.
@@ -51,6 +54,8 @@
   //! pause.
   bool output_is_full() const;
   bool answer_begun() const { return answer_begun_; }
+  //! How the answer's end is recognised. Precondition: the answer has begun.
+  BodyFraming answer_framing() const { return answer_framing_; }
   bool has_open_request() const { return task_ != nullptr; }
 
   //! Refuses a request whose head is late, and closes a connection that
@@ -84,7 +89,7 @@
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool answer_begun_ = false;
-  bool chunked_ = false;
+  BodyFraming answer_framing_ = BodyFraming::kLength;
   bool close_after_ = false;
   bool closed_ = false;
 };
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -77,6 +77,10 @@
   answer_head_.status = answer.status();
   answer_head_.reason = answer.reason();
   answer_head_.close_connection = context_->congestion.active();
+  if (answer_framing_ == BodyFraming::kConnectionEnd) {
+    // A length or a last chunk would claim that the answer is complete.
+    answer_head_.framing = BodyFraming::kConnectionEnd;
+  }
   for (const HttpField& it : answer.fields().all()) {
     if (!IsHopByHopField(it.name) &&
         !EqualsIgnoringCase(it.name, "Content-Length")) {
@@ -179,13 +183,12 @@
     FinishAttempt(answer_outcome_, "the stream was not resumed");
     return;
   }
-  const bool ends_inside_event =
-      IsStreamAnswer() && !not_event_stream_ &&
-      answer_framing_ == BodyFraming::kConnectionEnd &&
-      splitter_.incomplete_bytes() > 0;
-  if (ends_inside_event) {
-    FinishAttempt(AttemptOutcome::kBroken, "the stream ended inside an event");
-    return;
+  if (IsStreamAnswer() && answer_framing_ == BodyFraming::kConnectionEnd) {
+    const char* const broken_off = SignOfBreak();
+    if (broken_off != nullptr) {
+      FinishAttempt(AttemptOutcome::kBroken, broken_off);
+      return;
+    }
   }
   if (answer_outcome_ == AttemptOutcome::kAnswered) {
     ClearParts();
@@ -193,6 +196,21 @@
   FinishAttempt(answer_outcome_, "answer");
 }
 
+const char* RelayTask::SignOfBreak() const {
+  if (!not_event_stream_ && splitter_.incomplete_bytes() > 0) {
+    return "the stream ended inside an event";
+  }
+  if (!not_event_stream_ && splitter_.event_count() == events_before_attempt_) {
+    return "the connection ended before an event";
+  }
+  if (head_sent_ &&
+      connection_->answer_framing() != BodyFraming::kConnectionEnd) {
+    // The caller has been told how its answer ends, and this end isn't known.
+    return "the stream may be incomplete";
+  }
+  return nullptr;
+}
+
 void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
   FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
                 std::string(status.message()));
--- /dev/null
+++ b/tests/platform/answer_end_test.cpp
@@ -0,0 +1,292 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <ostream>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "platform/front_fixture.h"
+#include "support/scripted_endpoint.h"
+
+namespace tamaracktrail {
+namespace {
+
+constexpr char kEvent1[] = "id: 1\ndata: x\n\n";
+constexpr char kEvent2[] = "id: 2\ndata: y\n\n";
+
+//! What a caller knows about the end of its answer.
+enum class Seen {
+  kComplete,    //!< Its length or last chunk has arrived.
+  kUnknownEnd,  //!< The connection ended in order, and nothing else tells.
+  kBrokenOff,   //!< A success that is known to be cut.
+  kFailed,      //!< A complete failure.
+};
+
+std::ostream& operator<<(std::ostream& out, Seen seen) {
+  constexpr const char* kNames[] = {"complete", "unknown end", "broken off",
+                                    "failed"};
+  return out << kNames[static_cast<int>(seen)];
+}
+
+//! Framing of the endpoint's answer.
+enum class Framing { kLength, kChunks, kNone, kNoneWithClose, kHttp10 };
+constexpr std::pair<Framing, const char*> kFramings[] = {
+    {Framing::kLength, "Length"},
+    {Framing::kChunks, "Chunks"},
+    {Framing::kNone, "NoFraming"},
+    {Framing::kNoneWithClose, "NoFramingWithClose"},
+    {Framing::kHttp10, "Http10"}};
+
+bool HasNoFraming(Framing framing) {
+  return framing != Framing::kLength && framing != Framing::kChunks;
+}
+
+//! An answer of which `sent` arrives. It has its proper end, if its framing has
+//! one, if that is `whole`.
+std::string MakeAnswer(Framing framing,
+                       const std::string& sent,
+                       const std::string& whole,
+                       const std::string& type = "text/event-stream") {
+  std::string head = absl::StrCat(
+      framing == Framing::kHttp10 ? "HTTP/1.0" : "HTTP/1.1",
+      " 200 OK\r\nX-Server-Signature: s\r\n",
+      type.empty() ? "" : absl::StrCat("Content-Type: ", type, "\r\n"));
+  switch (framing) {
+    case Framing::kLength:
+      return absl::StrCat(head, "Content-Length: ",
+                          sent == whole ? whole.size() : 2 * whole.size(),
+                          "\r\n\r\n", sent);
+    case Framing::kChunks:
+      return absl::StrCat(head, "Transfer-Encoding: chunked\r\n\r\n",
+                          sent.empty() ? ""
+                                       : absl::StrCat(absl::Hex(sent.size()),
+                                                      "\r\n", sent, "\r\n"),
+                          sent == whole ? "0\r\n\r\n" : "");
+    case Framing::kNoneWithClose:
+      return absl::StrCat(head, "Connection: close\r\n\r\n", sent);
+    default:
+      return absl::StrCat(head, "\r\n", sent);
+  }
+}
+
+//! Where the answer breaks off.
+struct BreakPoint {
+  const char* name;
+  std::string sent;
+  bool inside_event;
+};
+
+struct EndCase {
+  std::string name;
+  std::string route;
+  std::vector<ScriptedEndpoint::Answer> answers;
+  Seen seen;
+  std::string body;  //!< Not checked for a failure.
+};
+
+std::ostream& operator<<(std::ostream& out, const EndCase& it) {
+  return out << it.name;
+}
+
+//! Breaks of the answer to the first and only attempt.
+std::vector<EndCase> BreakCases() {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const std::vector<BreakPoint> points = {
+      {"AfterHead", "", false},
+      {"InsideFirstEvent", "id: 1\nda", true},
+      {"AfterFirstLine", absl::StrCat(kEvent1, "id: 2\n"), true},
+      {"InsideBlankLine", absl::StrCat(kEvent1, "id: 2\ndata: y\n"), true},
+      {"InsideCrLfBlankLine",
+       absl::StrCat("id: 1\r\ndata: x\r\n\r\n", "id: 2\r\ndata: y\r\n\r"),
+       true},
+      {"BetweenEvents", kEvent1, false},
+      {"AfterLastEvent", whole, false}};
+  std::vector<EndCase> cases;
+  for (const auto& [framing, framing_name] : kFramings) {
+    for (const BreakPoint& point : points) {
+      for (const auto end :
+           {ScriptedEndpoint::End::kClose, ScriptedEndpoint::End::kReset}) {
+        const bool reset = end == ScriptedEndpoint::End::kReset;
+        const bool whole_sent = point.sent == whole && !HasNoFraming(framing);
+        // The caller gets complete events only.
+        std::string body =
+            point.sent.substr(0, point.sent.find("id: 2") != std::string::npos
+                                     ? point.sent.find("id: 2")
+                                     : std::string::npos);
+        if (point.sent == whole) {
+          body = whole;
+        }
+        const bool nothing_sent =
+            point.sent.find("\n\n") == std::string::npos &&
+            point.sent.find("\r\n\r\n") == std::string::npos;
+        Seen seen = Seen::kBrokenOff;
+        if (whole_sent) {
+          seen = Seen::kComplete;
+        } else if (nothing_sent) {
+          seen = Seen::kFailed;
+        } else if (HasNoFraming(framing) && !point.inside_event && !reset) {
+          seen = Seen::kUnknownEnd;
+        }
+        cases.push_back(
+            {absl::StrCat(framing_name, point.name, reset ? "Reset" : "Close"),
+             "report",
+             {{MakeAnswer(framing, point.sent, whole), end}},
+             seen,
+             body});
+      }
+    }
+  }
+  return cases;
+}
+
+//! Answers to other routes, of other types, and to two attempts.
+std::vector<EndCase> OtherCases() {
+  using End = ScriptedEndpoint::End;
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const std::string large(2 * 1024 * 1024, 'x');
+  const auto cut = [&](Framing framing) {
+    return ScriptedEndpoint::Answer{
+        MakeAnswer(framing, absl::StrCat(kEvent1, "id: 2\n"), whole),
+        End::kClose};
+  };
+  const auto rest = [&](Framing framing, const std::string& sent) {
+    return ScriptedEndpoint::Answer{MakeAnswer(framing, sent, kEvent2),
+                                    End::kClose};
+  };
+  return {
+      {"BeforeEndOfHead",
+       "report",
+       {{"HTTP/1.1 200 OK\r\nX-Server-Sig", End::kClose}},
+       Seen::kFailed,
+       ""},
+      {"StreamWithoutTypeEndsBetweenEvents",
+       "report",
+       {{MakeAnswer(Framing::kNone, kEvent1, whole, ""), End::kClose}},
+       Seen::kUnknownEnd,
+       kEvent1},
+      {"OtherTypeOnStreamRoute",
+       "report",
+       {{MakeAnswer(Framing::kNone, "{}", "{}", "application/json"),
+         End::kClose}},
+       Seen::kUnknownEnd,
+       "{}"},
+      {"BufferedAnswerCloses",
+       "fee",
+       {{MakeAnswer(Framing::kNone, "body", "body", "text/plain"),
+         End::kClose}},
+       Seen::kUnknownEnd,
+       "body"},
+      {"BufferedAnswerResets",
+       "fee",
+       {{MakeAnswer(Framing::kNone, "body", "body", "text/plain"),
+         End::kReset}},
+       Seen::kFailed,
+       ""},
+      {"BufferedAnswerWithLength",
+       "fee",
+       {{MakeAnswer(Framing::kLength, "body", "body", "text/plain"),
+         End::kClose}},
+       Seen::kComplete,
+       "body"},
+      {"LargeAnswerCloses",
+       "fee",
+       {{MakeAnswer(Framing::kNone, large, large, "text/plain"), End::kClose}},
+       Seen::kUnknownEnd,
+       large},
+      {"LargeAnswerWithChunks",
+       "fee",
+       {{MakeAnswer(Framing::kChunks, large, large, "text/plain"),
+         End::kClose}},
+       Seen::kComplete,
+       large},
+      {"ResumedWithChunksAfterChunks",
+       "ask",
+       {cut(Framing::kChunks), rest(Framing::kChunks, kEvent2)},
+       Seen::kComplete,
+       whole},
+      {"ResumedWithLengthAfterNoFraming",
+       "ask",
+       {cut(Framing::kNone), rest(Framing::kLength, kEvent2)},
+       Seen::kUnknownEnd,
+       whole},
+      {"ResumedWithoutFramingAfterNoFraming",
+       "ask",
+       {cut(Framing::kNone), rest(Framing::kHttp10, kEvent2)},
+       Seen::kUnknownEnd,
+       whole},
+      {"ResumedWithoutFramingAfterChunks",
+       "ask",
+       {cut(Framing::kChunks), rest(Framing::kNone, kEvent2)},
+       Seen::kBrokenOff,
+       whole},
+      {"ResumedWithoutFramingAfterLengthSendsNothing",
+       "ask",
+       {cut(Framing::kLength), rest(Framing::kNone, "")},
+       Seen::kBrokenOff,
+       kEvent1},
+      {"ResumedInsideEventAfterChunks",
+       "ask",
+       {cut(Framing::kChunks), rest(Framing::kNone, "id: 2\n")},
+       Seen::kBrokenOff,
+       kEvent1},
+  };
+}
+
+class AnswerEndTest : public FrontTest,
+                      public testing::WithParamInterface<EndCase> {
+ protected:
+  //! Sends a request on `route` to endpoints that answer from one script.
+  Caller* RunAgainst(const std::string& request,
+                     std::vector<ScriptedEndpoint::Answer> answers) {
+    endpoint_ = std::make_unique<ScriptedEndpoint>(&loop_, std::move(answers));
+    // The answers have been given; there is nobody to wait for.
+    settings_.grace_period = Millis(1000);
+    const bool streams = request.find("X-Model") != std::string::npos;
+    for (StandInEndpoint* it : {&a_, &b_}) {
+      store_.Put(platform::kEndpointTopic, it->id(),
+                 it->DirectoryEntry(streams ? "llm" : "app", 2, false,
+                                    endpoint_->address()));
+    }
+    return RunOne(request);
+  }
+
+  static Seen SeenBy(Caller* caller) {
+    if (caller->status() != 200) {
+      return caller->has_known_end() ? Seen::kFailed : Seen::kBrokenOff;
+    }
+    if (caller->has_known_end()) {
+      return Seen::kComplete;
+    }
+    return caller->complete() ? Seen::kUnknownEnd : Seen::kBrokenOff;
+  }
+
+  std::unique_ptr<ScriptedEndpoint> endpoint_;
+};
+
+TEST_P(AnswerEndTest, CallerIsToldNoMoreThanIsKnown) {
+  const EndCase& it = GetParam();
+  Caller* caller = RunAgainst(SampleRequest(it.route, "id-1"), it.answers);
+  EXPECT_EQ(SeenBy(caller), it.seen);
+  if (it.seen != Seen::kFailed) {
+    EXPECT_TRUE(caller->answer().body() == it.body)
+        << caller->answer().body().substr(0, 200);
+  }
+}
+
+std::string CaseName(const testing::TestParamInfo<EndCase>& info) {
+  return info.param.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Breaks,
+                         AnswerEndTest,
+                         testing::ValuesIn(BreakCases()),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(Others,
+                         AnswerEndTest,
+                         testing::ValuesIn(OtherCases()),
+                         CaseName);
+
+}  // namespace
+}  // namespace tamaracktrail
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -53,6 +53,11 @@
       result == TcpStream::ReadResult::kFailed) {
     connection_ended_ = true;
     stream_.reset();
+    if (result == TcpStream::ReadResult::kEndOfStream && reader_->head_done() &&
+        reader_->framing() == BodyFraming::kConnectionEnd &&
+        !reader_->FeedEnd().ok()) {
+      malformed_ = true;
+    }
   }
 }
 
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -26,7 +26,14 @@
   //! Closes the connection without waiting for the answer.
   void Disconnect() { stream_.reset(); }
 
+  //! Whether the answer is complete as far as its framing tells. One that ends
+  //! with the connection is, unless the connection was reset.
   bool complete() const { return reader_->done() && !malformed_; }
+  //! Whether the end of the answer is known from more than the end of the
+  //! connection.
+  bool has_known_end() const {
+    return complete() && reader_->framing() != BodyFraming::kConnectionEnd;
+  }
   bool finished() const {
     return complete() || connection_ended_ || malformed_;
   }
