Treat a stream that ends inside an event as broken off, whatever its framing

Callers could get a stream as complete that ended in the middle of an event: only streams without framing were checked, and the bytes after the last event of others were passed on and the answer ended.

A blank line may now also have two different line ends, so that such an event isn't taken for an unfinished one.

--- a/src/protocol/sse_splitter.cpp
+++ b/src/protocol/sse_splitter.cpp
@@ -14,11 +14,12 @@
 //! Returns the end of the first event in `text`, after its blank line; npos if
 //! no event is complete.
 size_t EventEnd(std::string_view text) {
+  // The two line ends of a blank line may differ.
   const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\r\n\r\n");
+  const size_t crlf = text.find("\n\r\n");
   if (crlf != std::string_view::npos &&
       (lf == std::string_view::npos || crlf < lf)) {
-    return crlf + 4;
+    return crlf + 3;
   }
   return lf == std::string_view::npos ? lf : lf + 2;
 }
@@ -80,8 +81,4 @@
          absl::SimpleAtoi(last_event_id_, &last) && number <= last;
 }
 
-std::string SseSplitter::TakeIncompleteEvent() {
-  return std::exchange(buffer_, {});
-}
-
 }  // namespace tamaracktrail
--- a/src/protocol/sse_splitter.h
+++ b/src/protocol/sse_splitter.h
@@ -21,9 +21,6 @@
   //! resumed at another endpoint.
   void Restart() { buffer_.clear(); }
 
-  //! Removes and returns the bytes of an incomplete event.
-  std::string TakeIncompleteEvent();
-
   //! Size of the bytes of an incomplete event.
   size_t incomplete_bytes() const { return buffer_.size(); }
 
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -94,8 +94,8 @@
   void OnCallFailed(const absl::Status& status, bool sent) override;
   AttemptOutcome Classify(const HttpReader& answer) const;
   bool IsStreamAnswer() const;
-  //! Why a stream that has ended with the connection counts as broken off, or
-  //! nullptr if it doesn't. Precondition: the endpoint's answer has ended.
+  //! Why a stream counts as broken off, or nullptr if it doesn't. Precondition:
+  //! the endpoint's answer has ended.
   const char* SignOfBreak() const;
   //! Whether the body of the present answer may be sent to the caller.
   bool IsForCaller() const;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -183,7 +183,7 @@
     FinishAttempt(answer_outcome_, "the stream was not resumed");
     return;
   }
-  if (IsStreamAnswer() && answer_framing_ == BodyFraming::kConnectionEnd) {
+  if (IsStreamAnswer()) {
     const char* const broken_off = SignOfBreak();
     if (broken_off != nullptr) {
       FinishAttempt(AttemptOutcome::kBroken, broken_off);
@@ -200,6 +200,9 @@
   if (!not_event_stream_ && splitter_.incomplete_bytes() > 0) {
     return "the stream ended inside an event";
   }
+  if (answer_framing_ != BodyFraming::kConnectionEnd) {
+    return nullptr;
+  }
   if (!not_event_stream_ && splitter_.event_count() == events_before_attempt_) {
     return "the connection ended before an event";
   }
@@ -219,7 +222,6 @@
 void RelayTask::DeliverBuffered() {
   finished_ = true;
   sent_buffered_success_ = answer_head_.status / 100 == 2;
-  buffered_ += splitter_.TakeIncompleteEvent();
   context_->loop->Cancel(&deadline_timer_);
   LogEnd(answer_head_.status, "delivered", "");
   connection_->Answer(answer_head_, buffered_);
@@ -228,7 +230,6 @@
 void RelayTask::EndStream() {
   finished_ = true;
   context_->loop->Cancel(&deadline_timer_);
-  connection_->WriteBody(splitter_.TakeIncompleteEvent());
   LogEnd(answer_head_.status, "delivered", "");
   connection_->EndAnswer();
 }
--- a/tests/protocol/sse_splitter_test.cpp
+++ b/tests/protocol/sse_splitter_test.cpp
@@ -12,7 +12,7 @@
   EXPECT_EQ(splitter.Feed("ta: b\n"), "");
   EXPECT_EQ(splitter.Feed("\n"), "id: 2\ndata: b\n\n");
   EXPECT_EQ(splitter.event_count(), 2);
-  EXPECT_EQ(splitter.TakeIncompleteEvent(), "");
+  EXPECT_EQ(splitter.incomplete_bytes(), 0U);
 }
 
 TEST(SseSplitterTest, DropsEventsThatAResumedStreamRepeats) {
@@ -30,6 +30,7 @@
             "id:4\r\ndata: a\r\n\r\n");
   EXPECT_EQ(splitter.last_event_id(), "4");
   EXPECT_EQ(splitter.Feed("data: end\n\n"), "data: end\n\n");
+  EXPECT_EQ(splitter.Feed("data: mixed\n\r\n"), "data: mixed\n\r\n");
   EXPECT_EQ(splitter.last_event_id(), "4");
 }
 
