Take a success without a Content-Type on a stream route for a stream

Callers could get such an answer as complete although it ended inside an event: without a Content-Type it was buffered and delivered like any other body, its events came all at once, and the whole maximum of tokens was charged. StreamWithoutTypeEndsInsideEvent fails without this change.

--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -88,8 +88,10 @@
     }
   }
   const auto type = answer.fields().Find("Content-Type");
-  not_event_stream_ =
-      !type || type->find("event-stream") == std::string_view::npos;
+  // A success on a stream route is a stream unless it says otherwise.
+  not_event_stream_ = type
+                          ? type->find("event-stream") == std::string_view::npos
+                          : answer.status() / 100 != 2;
   return true;
 }
 
