Resume a broken stream only after an event with an id

Callers could get the bytes of two runs joined: a stream was sent to another endpoint with an empty id to go on after, so that endpoint began at the start. That was so for events without ids, and for an answer above the size that is buffered which is not an event stream. Such an answer now ends with a reset.

--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -333,7 +333,9 @@
 RequestProgress RelayTask::Progress() const {
   RequestProgress progress;
   progress.kind = route_->kind;
-  progress.resumable = route_->resumable;
+  // Another endpoint can only go on after an event that has an id.
+  progress.resumable =
+      route_->resumable && (!head_sent_ || !splitter_.last_event_id().empty());
   progress.max_attempts = route_->max_attempts;
   progress.sends = sends_;
   progress.connection_attempts = connection_attempts_;
