Take an answer that ends as its endpoint dies for broken off

Callers of a dying endpoint got a stream with neither length nor chunks as ended in order, though all other connections to the endpoint broke at the same moment.

An end of the connection is now passed on after 10 ms. If another answer of that endpoint has been cut in the 10 ms before or after, or the endpoint was found to be down, the answer counts as broken off and is resumed, repeated or reset like any other. AnswersThatEndAsTheEndpointDiesAreBrokenOff fails without this change.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -62,6 +62,15 @@
   }
 }
 
+bool CrashGuard::LostSince(Millis since, uint64_t endpoint) const {
+  const auto down = last_down_.find(endpoint);
+  if (down != last_down_.end() && down->second >= since) {
+    return true;
+  }
+  const auto lost = lost_connections_.find(endpoint);
+  return lost != lost_connections_.end() && lost->second.back().at >= since;
+}
+
 bool CrashGuard::AddCrash(Millis now, const Crash& crash) {
   if (contents_.size() >= kMaxContents && !contents_.contains(crash.first)) {
     contents_.erase(contents_.begin());
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -41,6 +41,11 @@
   //! connections that only this instance has lost.
   void OnReported(Millis now, const Crash& crash);
 
+  //! Whether, at or after `since`, a connection to the endpoint broke in the
+  //! middle of an answer or the endpoint was found to be down. Knows about the
+  //! last 600 ms.
+  bool LostSince(Millis since, uint64_t endpoint) const;
+
   //! Whether the content must not be sent again.
   bool IsBlocked(uint64_t content) const;
   //! Whether the content has crashed at least one endpoint.
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -88,6 +88,7 @@
   context_->loop->Cancel(&deadline_timer_);
   context_->loop->Cancel(&share_wait_timer_);
   context_->loop->Cancel(&first_byte_timer_);
+  context_->loop->Cancel(&connection_end_timer_);
 }
 
 // --- Admission -------------------------------------------------------------
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -94,6 +94,10 @@
   void OnCallFailed(const absl::Status& status, bool sent) override;
   AttemptOutcome Classify(const HttpReader& answer) const;
   bool IsStreamAnswer() const;
+  //! The present attempt's answer has its proper end.
+  void FinishAnswer();
+  //! Decides whether an answer that ended with the connection is complete.
+  void CheckConnectionEnd();
   //! Why a stream counts as broken off, or nullptr if it doesn't. Precondition:
   //! the endpoint's answer has ended.
   const char* SignOfBreak() const;
@@ -160,6 +164,7 @@
   std::optional<BodyFraming> answer_framing_;
   bool not_event_stream_ = false;  //!< By the Content-Type of the answer.
   SseSplitter splitter_;
+  Millis connection_ended_at_;  //!< See CheckConnectionEnd; 0 if not waiting.
   Millis first_event_at_;
   Millis last_event_at_;
   Millis longest_event_gap_;  //!< Between two events of the stream.
@@ -167,6 +172,7 @@
   EventLoop::TimerId deadline_timer_{};
   EventLoop::TimerId share_wait_timer_{};
   EventLoop::TimerId first_byte_timer_{};
+  EventLoop::TimerId connection_end_timer_{};
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cstddef>
+#include <utility>
 
 #include <glog/logging.h>
 
@@ -27,6 +28,11 @@
 //! Size limit of one event of a stream; events have a few kilobytes at most.
 constexpr size_t kMaxEventBytes = 256 * 1024;
 
+//! When an endpoint dies, its connections all break within this time, and an
+//! answer that ended with its connection was broken off. The end is passed on
+//! after this time.
+constexpr Millis kConnectionEndDelay{10};
+
 //! Callers honour a Retry-After of up to a third of the time that remains until
 //! their deadline. The fraction is smaller, as part of that time has passed
 //! when the answer arrives.
@@ -192,6 +198,28 @@
       return;
     }
   }
+  if (IsForCaller() && answer_framing_ == BodyFraming::kConnectionEnd) {
+    connection_ended_at_ = context_->loop->Now();
+    connection_end_timer_ = context_->loop->After(
+        kConnectionEndDelay, [this] { CheckConnectionEnd(); });
+    return;
+  }
+  FinishAnswer();
+}
+
+void RelayTask::CheckConnectionEnd() {
+  const Millis since =
+      std::exchange(connection_ended_at_, Millis(0)) - kConnectionEndDelay;
+  context_->loop->Cancel(&connection_end_timer_);
+  if (ticket_ &&
+      context_->crashes.LostSince(since, ticket_->incarnation_hash)) {
+    FinishAttempt(AttemptOutcome::kBroken, "the endpoint lost connections");
+    return;
+  }
+  FinishAnswer();
+}
+
+void RelayTask::FinishAnswer() {
   if (answer_outcome_ == AttemptOutcome::kAnswered) {
     ClearParts();
   }
@@ -292,6 +320,10 @@
 }
 
 void RelayTask::OnDeadline() {
+  if (connection_ended_at_ > Millis(0)) {
+    CheckConnectionEnd();
+    return;
+  }
   const bool open = call_ != nullptr && call_->sent();
   may_have_run_ = may_have_run_ || open;
   if (ticket_) {
--- a/tests/coordination/crash_guard_test.cpp
+++ b/tests/coordination/crash_guard_test.cpp
@@ -43,6 +43,18 @@
   EXPECT_TRUE(guard.IsSuspect(2));
 }
 
+TEST(CrashGuardTest, KnowsWhenAnEndpointLostAConnection) {
+  CrashGuard guard;
+  EXPECT_FALSE(guard.LostSince(Millis(0), kFirstEndpoint));
+  guard.OnConnectionLost(kNow, kContent, kFirstEndpoint);
+  EXPECT_TRUE(guard.LostSince(kNow, kFirstEndpoint));
+  EXPECT_FALSE(guard.LostSince(kNow + Millis(1), kFirstEndpoint));
+  EXPECT_FALSE(guard.LostSince(kNow, kSecondEndpoint));
+  guard.OnEndpointDown(kNow + Millis(5), kSecondEndpoint);
+  EXPECT_TRUE(guard.LostSince(kNow + Millis(5), kSecondEndpoint));
+  EXPECT_FALSE(guard.LostSince(kNow + Millis(6), kSecondEndpoint));
+}
+
 TEST(CrashGuardTest, CrashReportedTwiceForAnEndpointCountsOnce) {
   CrashGuard guard;
   guard.OnReported(kNow, {kContent, kFirstEndpoint});
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -268,8 +268,7 @@
   };
 }
 
-class AnswerEndTest : public FrontTest,
-                      public testing::WithParamInterface<EndCase> {
+class AnswerEndTest : public FrontTest {
  protected:
   //! Sends a request on `route` to endpoints that answer from one script.
   Caller* RunAgainst(const std::string& request,
@@ -299,7 +298,10 @@
   std::unique_ptr<ScriptedEndpoint> endpoint_;
 };
 
-TEST_P(AnswerEndTest, CallerIsToldNoMoreThanIsKnown) {
+class AnswerEndCaseTest : public AnswerEndTest,
+                          public testing::WithParamInterface<EndCase> {};
+
+TEST_P(AnswerEndCaseTest, CallerIsToldNoMoreThanIsKnown) {
   const EndCase& it = GetParam();
   Caller* caller = RunAgainst(SampleRequest(it.route, "id-1"), it.answers);
   EXPECT_EQ(SeenBy(caller), it.seen);
@@ -309,16 +311,56 @@
   }
 }
 
+TEST_F(AnswerEndTest, AnswersThatEndAsTheEndpointDiesAreBrokenOff) {
+  using End = ScriptedEndpoint::End;
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const auto dying = std::make_unique<ScriptedEndpoint>(
+      &loop_,
+      std::vector<ScriptedEndpoint::Answer>{
+          {MakeAnswer(Framing::kChunks, kEvent1, whole), End::kKeepOpen},
+          {MakeAnswer(Framing::kNone, kEvent1, whole), End::kKeepOpen}});
+  ScriptedEndpoint other(
+      &loop_, {{MakeAnswer(Framing::kChunks, kEvent2, kEvent2), End::kClose}});
+  const auto put = [&](const StandInEndpoint& it, const std::string& address) {
+    store_.Put(platform::kEndpointTopic, it.id(),
+               it.DirectoryEntry("llm", 2, false, address));
+  };
+  put(a_, dying->address());
+  Caller* framed = nullptr;
+  Caller* unframed = nullptr;
+  Run([&] {
+    framed = Send(SampleRequest("ask", "id-1"));
+    Await([&] { return !framed->answer().body().empty(); },
+          [&] {
+            unframed = Send(SampleRequest("ask", "id-2"));
+            Await([&] { return !unframed->answer().body().empty(); },
+                  [&] {
+                    put(b_, other.address());
+                    // The instance reads the directory every 400 ms.
+                    loop_.After(Millis(600), [&] {
+                      dying->Crash();
+                      AwaitOver(unframed,
+                                [&] { AwaitOver(framed, [] { Stop(); }); });
+                    });
+                  });
+          });
+  });
+  EXPECT_EQ(SeenBy(framed), Seen::kComplete);
+  EXPECT_EQ(framed->answer().body(), whole);
+  EXPECT_EQ(SeenBy(unframed), Seen::kUnknownEnd);
+  EXPECT_EQ(unframed->answer().body(), whole);
+}
+
 std::string CaseName(const testing::TestParamInfo<EndCase>& info) {
   return info.param.name;
 }
 
 INSTANTIATE_TEST_SUITE_P(Breaks,
-                         AnswerEndTest,
+                         AnswerEndCaseTest,
                          testing::ValuesIn(BreakCases()),
                          CaseName);
 INSTANTIATE_TEST_SUITE_P(Others,
-                         AnswerEndTest,
+                         AnswerEndCaseTest,
                          testing::ValuesIn(OtherCases()),
                          CaseName);
 
