Send no chunks to HTTP/1.0 callers

Callers that speak HTTP/1.0 got the chunk sizes of a stream as part of its body. Such an answer now ends with the connection; a broken one with a reset. Http10CallerGetsNoChunks fails without this change.

The test of a dying endpoint failed once in its own stand-in: that closed a connection which it had offered to keep, and a request was on its way (log: 'cut answer' of the second endpoint 1 ms after the send). Its complete answers now say that they close.

--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -111,7 +111,8 @@
   request.body =
       std::make_shared<const std::string>(std::move(reader_->body()));
   request.first_byte_at = waiting_since_;
-  keep_alive_ = reader_->keep_alive() && reader_->is_http_1_1();
+  accepts_chunks_ = reader_->is_http_1_1();
+  keep_alive_ = reader_->keep_alive() && accepts_chunks_;
   is_head_request_ = request.method == "HEAD";
   reader_.reset();
   phase_ = Phase::kServing;
@@ -135,7 +136,9 @@
 void CallerConnection::BeginAnswer(const AnswerHead& head) {
   CHECK(phase_ == Phase::kServing && !answer_begun_) << "event=second_answer";
   answer_begun_ = true;
-  answer_framing_ = head.framing;
+  answer_framing_ = head.framing == BodyFraming::kChunks && !accepts_chunks_
+                        ? BodyFraming::kConnectionEnd
+                        : head.framing;
   close_after_ = !keep_alive_ || head.close_connection || server_->draining() ||
                  answer_framing_ == BodyFraming::kConnectionEnd;
   std::string text =
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -87,6 +87,7 @@
   Millis waiting_since_;  //!< Start of the current timeout.
   bool request_begun_ = false;
   bool keep_alive_ = true;
+  bool accepts_chunks_ = true;  //!< HTTP/1.0 does not know them.
   bool is_head_request_ = false;
   bool answer_begun_ = false;
   BodyFraming answer_framing_ = BodyFraming::kLength;
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "platform/front_fixture.h"
 #include "support/scripted_endpoint.h"
 
@@ -53,6 +54,10 @@
       framing == Framing::kHttp10 ? "HTTP/1.0" : "HTTP/1.1",
       " 200 OK\r\nX-Server-Signature: s\r\n",
       type.empty() ? "" : absl::StrCat("Content-Type: ", type, "\r\n"));
+  if (sent == whole && !HasNoFraming(framing)) {
+    // The endpoint reads no second request on the connection.
+    absl::StrAppend(&head, "Connection: close\r\n");
+  }
   switch (framing) {
     case Framing::kLength:
       return absl::StrCat(head, "Content-Length: ",
@@ -351,6 +356,25 @@
   EXPECT_EQ(unframed->answer().body(), whole);
 }
 
+TEST_F(AnswerEndTest, Http10CallerGetsNoChunks) {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  Caller* caller =
+      RunAgainst(absl::StrReplaceAll(SampleRequest("report", "id-1"),
+                                     {{"HTTP/1.1", "HTTP/1.0"}}),
+                 {{MakeAnswer(Framing::kChunks, whole, whole)}});
+  EXPECT_EQ(SeenBy(caller), Seen::kUnknownEnd);
+  EXPECT_EQ(caller->answer().body(), whole);
+}
+
+TEST_F(AnswerEndTest, Http10CallerOfBrokenStreamGetsReset) {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  Caller* caller =
+      RunAgainst(absl::StrReplaceAll(SampleRequest("report", "id-1"),
+                                     {{"HTTP/1.1", "HTTP/1.0"}}),
+                 {{MakeAnswer(Framing::kChunks, kEvent1, whole)}});
+  EXPECT_EQ(SeenBy(caller), Seen::kBrokenOff);
+}
+
 std::string CaseName(const testing::TestParamInfo<EndCase>& info) {
   return info.param.name;
 }
