Read the store's generation and log when it comes back from an older copy

Store-Era rises each time the store was restored; it was not read, so the log did not show when an instance learned of a restore. The client now keeps the highest one and logs store_restored; no change of logic. The stand-in of the store can come back from a copy.

--- a/src/transport/relay/http_fetch.cpp
+++ b/src/transport/relay/http_fetch.cpp
@@ -67,6 +67,7 @@
 bool HttpFetch::OnAnswerHead(const HttpReader& answer) {
   progressed_at_ = loop_->Now();
   answer_.status = answer.status();
+  answer_.fields = answer.fields();
   return true;
 }
 
--- a/src/transport/relay/http_fetch.h
+++ b/src/transport/relay/http_fetch.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "absl/status/statusor.h"
+#include "protocol/http_fields.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/relay/endpoint_call.h"
@@ -21,6 +22,7 @@
   //! An answer with any status.
   struct Answer {
     int status = 0;
+    HttpFields fields;
     std::string body;
   };
   using Callback = std::function<void(absl::StatusOr<Answer>)>;
--- a/tests/platform/topic_reader_test.cpp
+++ b/tests/platform/topic_reader_test.cpp
@@ -29,7 +29,7 @@
       : log_fd_(open("/dev/null", O_WRONLY | O_NONBLOCK)),
         log_(&loop_, log_fd_),
         store_(&loop_),
-        client_(&loop_, store_.address(), &metrics_),
+        client_(&loop_, &log_, store_.address(), &metrics_),
         reader_(
             &loop_,
             &log_,
@@ -123,7 +123,7 @@
 
 TEST_F(TopicReaderTest, DeadIdleConnectionsDelayOneReadOnly) {
   FaultProxy proxy(&loop_, store_.address());
-  StoreClient client(&loop_, proxy.address(), &metrics_);
+  StoreClient client(&loop_, &log_, proxy.address(), &metrics_);
   TopicReader reader(
       &loop_, &log_, &client, {kOperatorTopic, Millis(0), Millis(400)},
       [&](const StoreRecord& it) {
--- a/tests/support/stand_in_store.cpp
+++ b/tests/support/stand_in_store.cpp
@@ -100,6 +100,8 @@
 
   void Send(const Answer& answer) {
     AnswerHead head;
+    head.fields.Add(platform::kStoreGenerationField,
+                    absl::StrCat(store_->generation_));
     head.status = answer.first;
     head.reason = "Answer";
     connection_->Answer(std::move(head), answer.second);
@@ -148,6 +150,40 @@
   topic.records.clear();
 }
 
+class StandInStore::Copy {
+ public:
+  std::map<std::string, Topic> topics;
+};
+
+std::shared_ptr<const StandInStore::Copy> StandInStore::MakeCopy() const {
+  auto copy = std::make_shared<Copy>();
+  copy->topics = topics_;
+  return copy;
+}
+
+void StandInStore::Restore(const Copy& copy, bool rewrite) {
+  const auto lost = std::exchange(topics_, copy.topics);
+  ++generation_;
+  for (const char* name :
+       {platform::kOperatorTopic, platform::kEndpointTopic}) {
+    const auto topic = lost.find(name);
+    if (topic == lost.end() || !rewrite) {
+      continue;
+    }
+    const auto restored = topics_[name].newest;
+    for (const auto& [key, record] : topic->second.newest) {
+      if (Newest(name, key) != record.value) {
+        ApplyRecord(&topics_[name], record);
+      }
+    }
+    for (const auto& [key, record] : restored) {
+      if (!topic->second.newest.contains(key)) {
+        ApplyRecord(&topics_[name], {key, ""});
+      }
+    }
+  }
+}
+
 std::string StandInStore::Newest(const std::string& topic,
                                  const std::string& key) const {
   const auto it = topics_.find(topic);
@@ -206,7 +242,7 @@
     const std::map<std::string, std::string>& query) {
   const Topic& topic = topics_[query.at("topic")];
   const int64_t from = IntParameter(query, "from");
-  if (from < topic.first_offset) {
+  if (from < topic.first_offset || from > topic.end()) {
     return {410, json{{"first_offset", topic.first_offset}}.dump()};
   }
   unsigned char offsets[16];
--- a/tests/support/stand_in_store.h
+++ b/tests/support/stand_in_store.h
@@ -51,6 +51,15 @@
   //! The newest value of a key; empty if there is none.
   std::string Newest(const std::string& topic, const std::string& key) const;
 
+  //! A copy of all topics, to restore from.
+  class Copy;
+  std::shared_ptr<const Copy> MakeCopy() const;
+
+  //! Comes back from an older copy: all records since, positions and producers
+  //! are lost, and the generation rises. What the operator and the endpoints
+  //! wrote since is written again at once if `rewrite`.
+  void Restore(const Copy& copy, bool rewrite = true);
+
   uint64_t calls() const { return calls_; }
 
   //! Sets the largest number of records in one page of a listing.
@@ -91,6 +100,7 @@
   Faults faults_;
   size_t page_size_ = 500;
   uint64_t calls_ = 0;
+  int64_t generation_ = 1;
   std::map<std::string, Topic> topics_;
   std::unique_ptr<RelayServer> server_;
 };
