--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -54,18 +54,18 @@
   return state.failure_rate * std::exp(-age / kFailureDecayMs);
 }
 
-void EndpointRegistry::Apply(Millis now, const EndpointEntry& entry) {
+bool EndpointRegistry::Apply(Millis now, const EndpointEntry& entry) {
   const auto removed = removed_.find(entry.id);
   if (removed != removed_.end() &&
       std::pair(entry.start_unix_ms, entry.sequence) <= removed->second) {
-    return;
+    return false;
   }
   const auto it = endpoints_.find(entry.id);
   if (it != endpoints_.end()) {
     EndpointState& known = it->second;
     if (std::pair(entry.start_unix_ms, entry.sequence) <
         std::pair(known.entry.start_unix_ms, known.entry.sequence)) {
-      return;
+      return false;
     }
     if (entry.start_unix_ms == known.entry.start_unix_ms) {
       // A draining endpoint does not become usable again as the same
@@ -74,7 +74,7 @@
       known.entry = entry;
       known.entry.draining = draining;
       known.missing_since = {};
-      return;
+      return true;
     }
     Erase(entry.id);
   }
@@ -85,6 +85,7 @@
   fresh.known_since = now;
   by_hash_[fresh.incarnation_hash] = entry.id;
   endpoints_.emplace(entry.id, std::move(fresh));
+  return true;
 }
 
 bool EndpointRegistry::ApplyFromPeer(Millis now, const EndpointEntry& entry) {
@@ -96,8 +97,7 @@
   if (missing) {
     return false;
   }
-  Apply(now, entry);
-  return true;
+  return Apply(now, entry);
 }
 
 void EndpointRegistry::Remove(Millis now,
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -36,12 +36,12 @@
   using LoadReport = std::vector<std::pair<uint64_t, EndpointLoad>>;
 
   //! Applies an entry of the directory. Ignores older entries of the same
-  //! incarnation and entries of older incarnations.
-  void Apply(Millis now, const EndpointEntry& entry);
+  //! incarnation and entries of older incarnations: returns false for one.
+  bool Apply(Millis now, const EndpointEntry& entry);
 
   //! Applies an entry from a peer's copy of the directory. The copy may be
   //! older than a removal that is known here, so it does not restore an
-  //! endpoint that was removed or is missing: returns false for one.
+  //! endpoint that was removed or is missing. Returns whether it was applied.
   bool ApplyFromPeer(Millis now, const EndpointEntry& entry);
 
   //! The directory no longer lists an endpoint. With `store_in_doubt`, one that
--- a/tests/platform/front_fixture.h
+++ b/tests/platform/front_fixture.h
@@ -125,12 +125,21 @@
                         callers_.size(), "\r\n\r\n");
   }
 
-  //! Calls `then` once requests on the public route `name` are served.
-  void AwaitRoute(const std::string& name, const std::function<void()>& then) {
+  //! Calls `then` once requests on the public route `name` are served; fails
+  //! the test after `max_tries` tries, 20 ms apart: 5 s by default.
+  void AwaitRoute(const std::string& name,
+                  const std::function<void()>& then,
+                  int max_tries = 250) {
+    if (max_tries == 0) {
+      ADD_FAILURE() << "route " << name << " was not served in time";
+      Stop();
+      return;
+    }
     Caller* caller = Send(VersionRequest(name));
     AwaitOver(caller, [=, this] {
       if (caller->status() == 404) {
-        loop_.After(Millis(20), [=, this] { AwaitRoute(name, then); });
+        loop_.After(Millis(20),
+                    [=, this] { AwaitRoute(name, then, max_tries - 1); });
         return;
       }
       in_force_at_ = loop_.Now();
--- a/tests/platform/topic_reader_test.cpp
+++ b/tests/platform/topic_reader_test.cpp
@@ -97,6 +97,49 @@
   EXPECT_EQ(values_, (std::vector<std::string>{"first", "second"}));
 }
 
+TEST_F(TopicReaderTest, RecordsAtOffsetsThatARestoreGaveOutAgainAreRead) {
+  store_.Put(kOperatorTopic, "a", "copied");
+  const auto copy = store_.MakeCopy();
+  store_.Put(kOperatorTopic, "b", "lost");
+  store_.Put(kOperatorTopic, "c", "lost");
+  client_.SetOnRestored([&] { reader_.OnStoreRestored(); });
+  reader_.Start();
+  loop_.After(Millis(100), [&] {
+    store_.Restore(*copy, false);
+    // The end of the topic is past the position of the reader again.
+    for (const char* it : {"d", "e", "f", "g"}) {
+      store_.Put(kOperatorTopic, it, it);
+    }
+    RunUntilRead("g", Millis(3000));
+  });
+  loop_.Run();
+  for (const char* it : {"d", "e", "f", "g"}) {
+    EXPECT_EQ(values_by_key_[it], it);
+  }
+}
+
+TEST_F(TopicReaderTest, AnswerOfBeforeARestoreIsNotUsedAfterIt) {
+  store_.Put(kOperatorTopic, "a", "copied");
+  const auto copy = store_.MakeCopy();
+  client_.SetOnRestored([&] { reader_.OnStoreRestored(); });
+  reader_.Start();
+  // The read of "lost" is answered after 1.4 s, when its call has failed and
+  // the store has been restored. The answer is kept for the next equal read.
+  loop_.After(Millis(100), [&] {
+    store_.faults().answer_delay = Millis(2400);
+    store_.Put(kOperatorTopic, "b", "lost");
+    loop_.After(Millis(200), [&] {
+      store_.faults().answer_delay = Millis(0);
+      store_.Restore(*copy, false);
+      store_.Put(kOperatorTopic, "c", "new");
+    });
+  });
+  loop_.After(Millis(3500), [&] { loop_.Quit(); });
+  loop_.Run();
+  EXPECT_EQ(values_by_key_["c"], "new");
+  EXPECT_FALSE(values_by_key_.contains("b"));
+}
+
 TEST_F(TopicReaderTest, LatePageOfFirstTryDoesNotHideLaterRemoval) {
   store_.SetPageSize(1);
   store_.Put(kOperatorTopic, "a", "kept");
