Record claims again before any is raised after the log was restored

Cause: instances trusted that the log keeps what it has acknowledged. Now each record carries the generation of the log. When it rises, an instance fences its earlier appends, lists the claims, and records its own again, without what it neither uses nor the copy holds. It remembers the claims of the others until they record them again; for one that doesn't within a second, it records a substitute. Until all have written, no claim is raised; shares are spent on. Locks of earlier generations limit nobody.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 namespace tamaracktrail {
@@ -79,6 +80,13 @@
 //! A fleet with more instances than this is large.
 constexpr int kLargeFleetInstances = 16;
 
+//! An instance that has not written for this time since it could learn of a
+//! restore gets a substitute: one that lives writes at its next call. An
+//! instance that has just started and knows no claims of before leaves others
+//! the time to do so.
+constexpr Millis kSubstituteDelay{1000};
+constexpr Millis kSubstituteDelayAfterStart{2500};
+
 //! What may be spent while a lock holds covers the demand of this time, s, this
 //! many standard deviations of it, and one request of typical size.
 constexpr double kLockCoverSeconds = 3.5;
@@ -128,16 +136,58 @@
     ApplyOwn(&account, claim);
     return;
   }
-  BudgetClaim& known = account.others[claim.instance];
-  account.others_claimed += claim.claimed - known.claimed;
-  account.others_spent += claim.spent - known.spent;
-  account.others_stranded += claim.stranded - known.stranded;
-  known = claim;
+  if (NameOfInstance(claim.instance) != self_.instance) {
+    written_generations_.try_emplace(NameOfInstance(claim.instance), -1);
+  }
+  ApplyOther(&account, claim);
+  if (IsSubstituteName(claim.instance)) {
+    return;
+  }
+  const auto remembered = account.remembered.find(claim.instance);
+  if (remembered != account.remembered.end() &&
+      claim.generation == generation_ &&
+      claim.incarnation == remembered->second.incarnation) {
+    account.remembered.erase(remembered);
+  }
+  // The instance itself knows what it has claimed.
+  const auto substitute = account.others.find(SubstituteName(claim.instance));
+  if (substitute != account.others.end()) {
+    ApplyOther(&account, substitute->second);
+  }
+}
+
+void BudgetShares::ApplyOther(Account* account, BudgetClaim claim) {
+  if (IsSubstituteName(claim.instance)) {
+    const std::string instance = NameOfInstance(claim.instance);
+    const auto own = account->others.find(instance);
+    const bool replaced =
+        instance == self_.instance
+            ? claim.incarnation == self_.incarnation
+            : own != account->others.end() &&
+                  own->second.incarnation == claim.incarnation &&
+                  own->second.generation >= claim.generation;
+    if (replaced) {
+      claim.claimed = claim.spent = claim.stranded = claim.locked = 0;
+    }
+  }
+  BudgetClaim& known = account->others[claim.instance];
+  account->others_claimed += claim.claimed - known.claimed;
+  account->others_spent += claim.spent - known.spent;
+  account->others_stranded += claim.stranded - known.stranded;
+  known = std::move(claim);
 }
 
 void BudgetShares::Apply(const ShareLock& lock) {
+  const std::string writer = NameOfInstance(lock.instance);
+  // Under the own name, only a predecessor may have claims that are lost.
+  if (writer != self_.instance ||
+      (lock.incarnation != self_.incarnation && !restored_)) {
+    int64_t& written =
+        written_generations_.try_emplace(writer, -1).first->second;
+    written = std::max(written, lock.generation);
+  }
   if (lock.instance != self_.instance ||
-      lock.incarnation == self_.incarnation) {
+      lock.incarnation == self_.incarnation || restored_) {
     return;
   }
   predecessor_lock_ = lock;
@@ -152,7 +202,8 @@
   const bool lock_held =
       predecessor_lock_ &&
       predecessor_lock_->incarnation == account->predecessor.incarnation &&
-      !self_.boot.empty() && predecessor_lock_->boot == self_.boot &&
+      predecessor_lock_->generation == generation_ && !self_.boot.empty() &&
+      predecessor_lock_->boot == self_.boot &&
       predecessor_gone_at_ >= predecessor_lock_->at &&
       predecessor_gone_at_ < predecessor_lock_->at + kLockDuration;
   account->base_claimed =
@@ -162,11 +213,21 @@
 
 void BudgetShares::ApplyOwn(Account* account, const BudgetClaim& claim) {
   if (claim.incarnation != self_.incarnation) {
+    if (restored_) {
+      // An older copy of a record that is known or was replaced.
+      return;
+    }
     CHECK_EQ(account->logged_claim, 0) << "event=predecessor_not_fenced";
     account->predecessor = claim;
     UpdateBase(account);
     return;
   }
+  if (!account->recorded) {
+    // What the log still has of this instance's claim.
+    account->logged_claim = std::max<int64_t>(
+        account->logged_claim, claim.claimed - account->base_claimed);
+    return;
+  }
   // An older record may claim more than this instance has kept since, and other
   // instances may have claimed the returned tokens in the meantime.
   if (claim.number == account->planned_number) {
@@ -180,11 +241,13 @@
       << "event=share_overspent organisation=" << claim.organisation;
 }
 
-void BudgetShares::DecideGrant(Account* account, const BudgetClaim& claim) {
+void BudgetShares::DecideGrant(Account* account,
+                               const BudgetClaim& claim) const {
   const int64_t own_claimed = claim.claimed - account->base_claimed;
   const int64_t max_own_claim =
       account->prepaid
-          ? *account->prepaid - account->others_claimed - account->base_claimed
+          ? *account->prepaid - account->others_claimed -
+                account->Unrecorded(generation_) - account->base_claimed
           : 0;
   account->logged_claim = own_claimed;
   account->granted =
@@ -192,6 +255,140 @@
   account->raise_undecided = false;
 }
 
+// --- Restores of the log ---------------------------------------------------
+
+void BudgetShares::SetGeneration(Millis now, int64_t generation) {
+  if (generation <= generation_) {
+    return;
+  }
+  const bool restored = std::exchange(generation_, generation) >= 0;
+  generation_at_ = now;
+  if (restored) {
+    // Before the first complete listing, nothing is known to be older.
+    restored_ = synced_at_ >= Millis(0);
+    OnRestored();
+  }
+}
+
+void BudgetShares::OnRestored() {
+  if (restored_) {
+    written_generations_.erase(self_.instance);
+  }
+  batch_pending_ = false;
+  pending_lock_at_ = {};
+  for (auto& [name, account] : accounts_) {
+    std::map<std::string, BudgetClaim> remembered;
+    for (const auto& [instance, claim] : account.others) {
+      if (!IsSubstituteName(instance)) {
+        remembered[instance] = claim;
+      }
+    }
+    for (const auto& [instance, claim] : account.others) {
+      if (IsSubstituteName(instance)) {
+        BudgetClaim& it = remembered[NameOfInstance(instance)];
+        it.claimed += claim.claimed;
+        it.incarnation = claim.incarnation;
+      }
+    }
+    for (const auto& [instance, claim] : account.remembered) {
+      // Not recorded again since an earlier restore.
+      BudgetClaim& it = remembered[instance];
+      it.claimed = std::max(it.claimed, claim.claimed);
+      it.incarnation = claim.incarnation;
+      it.number = std::max(it.number, claim.number);
+    }
+    account.remembered = std::move(remembered);
+    account.others.clear();
+    account.others_claimed = 0;
+    account.others_spent = 0;
+    account.others_stranded = 0;
+    account.recorded = false;
+    account.raise_undecided = false;
+    account.logged_claim = 0;
+    account.pending_claim.reset();
+    account.pending_locked_limit.reset();
+  }
+}
+
+int64_t BudgetShares::Account::Lost(const std::string& instance,
+                                    const BudgetClaim& remembered_claim,
+                                    int64_t generation) const {
+  const auto listed = others.find(instance);
+  if (listed == others.end()) {
+    return remembered_claim.claimed;
+  }
+  const bool is_newer =
+      listed->second.incarnation == remembered_claim.incarnation &&
+      (listed->second.generation == generation ||
+       listed->second.number >= remembered_claim.number);
+  return is_newer ? 0
+                  : std::max<int64_t>(
+                        0, remembered_claim.claimed - listed->second.claimed);
+}
+
+int64_t BudgetShares::Account::Unrecorded(int64_t generation) const {
+  int64_t sum = 0;
+  for (const auto& [instance, claim] : remembered) {
+    const auto substitute = others.find(SubstituteName(instance));
+    const int64_t substituted =
+        substitute == others.end() ? 0 : substitute->second.claimed;
+    sum +=
+        std::max<int64_t>(0, Lost(instance, claim, generation) - substituted);
+  }
+  return sum;
+}
+
+bool BudgetShares::IsSettled() const {
+  return std::all_of(written_generations_.begin(), written_generations_.end(),
+                     [&](const auto& it) { return it.second >= generation_; });
+}
+
+bool BudgetShares::NeedsSubstitutes() const {
+  // Others may have written since the log was last read.
+  if (synced_at_ - generation_at_ <
+      (restored_ ? kSubstituteDelay : kSubstituteDelayAfterStart)) {
+    return false;
+  }
+  return !IsSettled() ||
+         std::any_of(accounts_.begin(), accounts_.end(), [&](const auto& it) {
+           return it.second.Unrecorded(generation_) > 0;
+         });
+}
+
+void BudgetShares::PlanSubstitutes(ClaimBatch* batch) const {
+  std::set<std::string> names;
+  for (const auto& [instance, written] : written_generations_) {
+    if (written < generation_) {
+      names.insert(instance);
+    }
+  }
+  for (const auto& [name, account] : accounts_) {
+    for (const auto& [instance, remembered] : account.remembered) {
+      const auto known = account.others.find(SubstituteName(instance));
+      const int64_t lost = account.Lost(instance, remembered, generation_);
+      if (lost <= (known == account.others.end() ? 0 : known->second.claimed)) {
+        continue;
+      }
+      BudgetClaim claim;
+      claim.instance = SubstituteName(instance);
+      claim.organisation = name;
+      claim.incarnation = remembered.incarnation;
+      claim.claimed = lost;
+      claim.locked = lost;
+      claim.stranded = lost;
+      claim.generation = generation_;
+      batch->substitute_claims.push_back(std::move(claim));
+      names.insert(instance);
+    }
+  }
+  for (const std::string& it : names) {
+    ShareLock lock;
+    lock.instance = SubstituteName(it);
+    lock.generation = generation_;
+    batch->substitute_locks.push_back(std::move(lock));
+  }
+}
+
 void BudgetShares::BeginListing() {
   listing_ = true;
   listing_decides_ = !batch_pending_;
@@ -201,6 +398,15 @@
 void BudgetShares::EndListing() {
   CHECK(listing_) << "event=listing_not_begun";
   listing_ = false;
+  for (auto& [name, account] : accounts_) {
+    if (!account.recorded) {
+      // When the log was restored is unknown, so the others may have raised
+      // their claims already: what the log lacks is given up if it isn't in
+      // use.
+      account.granted = std::max(
+          account.in_use(), std::min(account.granted, account.logged_claim));
+    }
+  }
   for (const auto& [name, claim] : listed_own_) {
     if (listing_decides_) {
       DecideGrant(&accounts_.at(name), claim);
@@ -332,8 +538,8 @@
     return 0;
   }
   return RemainingBudget(account) * kIdleFraction / instances_ *
-         (account.unclaimed() < 0 ? kMinReturnFractionWhenOverclaimed
-                                  : kMinReturnFraction);
+         (account.Unclaimed(generation_) < 0 ? kMinReturnFractionWhenOverclaimed
+                                             : kMinReturnFraction);
 }
 
 int64_t BudgetShares::ShareTarget(Millis now, const Account& account) const {
@@ -391,6 +597,7 @@
   claim.locked = account->base_claimed + own_locked;
   claim.spent = account->base_spent + account->spent;
   claim.stranded = account->stranded();
+  claim.generation = generation_;
   return claim;
 }
 
@@ -402,15 +609,23 @@
   const auto held = static_cast<double>(account->granted - in_use);
   const auto wanted = static_cast<double>(target);
   int64_t claimed = account->logged_claim;
-  const double return_above =
-      wanted *
-      (account->unclaimed() < 0 ? kReturnAboveWhenOverclaimed : kReturnAbove);
+  if (!account->recorded) {
+    account->granted = std::max(account->granted, in_use);
+    return MakeClaim(
+        name, account, account->granted,
+        std::clamp(account->locked_limit, in_use, account->granted));
+  }
+  const double return_above = wanted * (account->Unclaimed(generation_) < 0
+                                            ? kReturnAboveWhenOverclaimed
+                                            : kReturnAbove);
   if (account->raise_undecided) {
     // It is unknown how much of the last raise is granted; another raise would
     // not help.
+  } else if (!IsSettled()) {
+    // Claims of others may be missing in the log.
   } else if ((held < wanted * kRefillBelow ||
               held < static_cast<double>(account->largest_refused)) &&
-             account->unclaimed() > 0) {
+             account->Unclaimed(generation_) > 0) {
     claimed = std::max(account->logged_claim, in_use + target);
   } else if ((held > return_above && held - wanted > MinReturn(*account)) ||
              account->logged_claim > account->granted) {
@@ -456,10 +671,16 @@
       batch.claims.push_back(*claim);
     }
   }
+  if (NeedsSubstitutes()) {
+    PlanSubstitutes(&batch);
+    // The records of others up to these decide.
+    batch.has_raise = true;
+  }
   const Millis interval = instances_ > kLargeFleetInstances
                               ? kLargeFleetLockInterval
                               : kLockInterval;
-  if (!batch.claims.empty() || now - lock_at_ >= interval) {
+  if (!batch.claims.empty() || !batch.substitute_locks.empty() ||
+      now - lock_at_ >= interval) {
     StartBatch(now, &batch);
   }
   return batch;
@@ -472,7 +693,7 @@
   }
   for (auto& [name, account] : accounts_) {
     const int64_t in_use = account.in_use();
-    if (account.logged_claim > in_use) {
+    if (account.logged_claim > in_use || !account.recorded) {
       account.granted = in_use;
       batch.claims.push_back(MakeClaim(name, &account, in_use, in_use));
     }
@@ -484,7 +705,8 @@
 }
 
 void BudgetShares::StartBatch(Millis now, ClaimBatch* batch) {
-  batch->lock = ShareLock{self_.instance, self_.incarnation, self_.boot, now};
+  batch->lock = ShareLock{self_.instance, self_.incarnation, self_.boot, now,
+                          generation_};
   pending_lock_at_ = now;
   batch_pending_ = true;
   for (const BudgetClaim& it : batch->claims) {
@@ -507,6 +729,7 @@
       account.raise_undecided =
           account.raise_undecided || logged_claim > account.logged_claim;
       account.logged_claim = logged_claim;
+      account.recorded = true;
     }
   }
 }
@@ -526,7 +749,7 @@
   if (it != accounts_.end() && it->second.prepaid) {
     view.available = Available(now, it->second);
     view.held = it->second.granted - it->second.in_use();
-    view.unclaimed = it->second.unclaimed();
+    view.unclaimed = it->second.Unclaimed(generation_);
     view.log_age = now - synced_at_;
   }
   return view;
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -27,6 +27,12 @@
 //! of records lets the instances together spend more than the total. The newest
 //! claim of each key is the complete state; no history is needed.
 //!
+//! The log may come back from an older copy and then lacks claims that were
+//! granted since. Each instance remembers the claims of the others until they
+//! record them again, and records its own again at once. For an instance that
+//! doesn't, the others record a substitute. Until every claim is recorded again
+//! in one of these ways, none is raised.
+//!
 //! Shares are large, since an instance may lose its connection to the log for
 //! several seconds. To keep a crash from stranding them, each share lock keeps
 //! most of a share from being spent for a short time: see ShareLock. Not
@@ -72,6 +78,14 @@
   //! that arrive until callers have stopped sending to this instance.
   void BeginDrain() { draining_ = true; }
 
+  //! The log to be listed next has come back from an older copy `generation`
+  //! times. Precondition: outside a listing. The batch that is pending, if any,
+  //! is void if the generation has risen.
+  void SetGeneration(Millis now, int64_t generation);
+  //! Whether all claims are recorded that are known to have been granted, so
+  //! that claims may be raised.
+  bool IsSettled() const;
+
   //! Applies a record of the log. Precondition: outside a listing, records are
   //! applied in log order; all records of predecessors are applied before the
   //! first batch is planned.
@@ -134,6 +148,9 @@
     std::optional<int64_t> prepaid;  //!< Budget, tokens; nullopt: no limit.
     //! Newest claims of the other instances, by name.
     std::map<std::string, BudgetClaim> others;
+    //! Claims of the other instances that were known when the log was restored,
+    //! until they record them again.
+    std::map<std::string, BudgetClaim> remembered;
     int64_t others_claimed = 0;
     int64_t others_spent = 0;
     int64_t others_stranded = 0;
@@ -147,7 +164,8 @@
     uint64_t planned_number = 0;   //!< Of the own record planned last.
     int64_t logged_claim = 0;      //!< Own claim that was appended last.
     bool raise_undecided = false;  //!< See HasUndecidedRaise.
-    int64_t granted = 0;           //!< Including spent tokens.
+    bool recorded = true;  //!< Own claim is recorded since the last restore.
+    int64_t granted = 0;   //!< Including spent tokens.
     //! What the newest appended lock allows to spend, including spent tokens.
     int64_t locked_limit = 0;
     //! Values of the pending batch.
@@ -167,10 +185,18 @@
     //! Tokens of predecessors that can't be spent any more but aren't known to
     //! be spent.
     int64_t stranded() const { return base_claimed - base_spent; }
+    //! The part of a remembered claim that the log lacks, apart from what a
+    //! substitute records.
+    int64_t Lost(const std::string& instance,
+                 const BudgetClaim& remembered_claim,
+                 int64_t generation) const;
+    //! What the log lacks of all remembered claims and no substitute records.
+    int64_t Unrecorded(int64_t generation) const;
     //! Tokens that no instance claims; negative while the claims exceed the
     //! budget.
-    int64_t unclaimed() const {
-      return *prepaid - others_claimed - base_claimed - logged_claim;
+    int64_t Unclaimed(int64_t generation) const {
+      return *prepaid - others_claimed - Unrecorded(generation) - base_claimed -
+             logged_claim;
     }
   };
 
@@ -191,7 +217,17 @@
   //! Smallest surplus that is worth a record.
   double MinReturn(const Account& account) const;
   void ApplyOwn(Account* account, const BudgetClaim& claim);
-  static void DecideGrant(Account* account, const BudgetClaim& claim);
+  void ApplyOther(Account* account, BudgetClaim claim);
+  void DecideGrant(Account* account, const BudgetClaim& claim) const;
+  //! The log was restored: forgets what was read from it, and remembers what it
+  //! may lack.
+  void OnRestored();
+  //! Whether records of other instances have been missing in the log for so
+  //! long that this instance has to write them.
+  bool NeedsSubstitutes() const;
+  //! Adds locks for the instances that have not written since the restore, and
+  //! claims for what the log lacks of remembered ones.
+  void PlanSubstitutes(ClaimBatch* batch) const;
   //! Recomputes the base from the claim and the lock of the predecessor.
   void UpdateBase(Account* account);
   std::optional<BudgetClaim> PlanAccount(Millis now,
@@ -219,6 +255,12 @@
   //! When the log was last read up to its end; -1 for never.
   Millis synced_at_{-1};
   std::optional<ShareLock> predecessor_lock_;
+  int64_t generation_ = -1;  //!< Of the log; -1 before the first listing.
+  Millis generation_at_;     //!< When this instance learned of it.
+  bool restored_ = false;    //!< The log was restored during this incarnation.
+  //! Generation of the newest record of each other instance or its substitute,
+  //! and of the predecessor under the own name.
+  std::map<std::string, int64_t> written_generations_;
   Millis lock_at_;          //!< Time of the newest appended lock; 0 for none.
   Millis pending_lock_at_;  //!< Time of the pending lock; 0 for none.
   std::map<std::string, Account> accounts_;
--- a/src/coordination/claim_batch.h
+++ b/src/coordination/claim_batch.h
@@ -13,6 +13,10 @@
 struct ClaimBatch {
   std::optional<ShareLock> lock;
   std::vector<BudgetClaim> claims;
+  //! Written for instances that have not recorded their claims again since the
+  //! log was restored; see SubstituteName.
+  std::vector<ShareLock> substitute_locks;
+  std::vector<BudgetClaim> substitute_claims;
   //! Whether a claim is raised: how much of it is granted depends on the
   //! position of its record in the log.
   bool has_raise = false;
--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -10,8 +10,23 @@
 //! Separates instance and organisation; neither name may contain it.
 constexpr char kSeparator = '/';
 
+//! Ends the name of a substitute; no instance's name may end so.
+constexpr char kSubstituteSuffix = '~';
+
 }  // namespace
 
+std::string SubstituteName(const std::string& instance) {
+  return instance + kSubstituteSuffix;
+}
+
+bool IsSubstituteName(const std::string& name) {
+  return !name.empty() && name.back() == kSubstituteSuffix;
+}
+
+std::string NameOfInstance(const std::string& name) {
+  return IsSubstituteName(name) ? name.substr(0, name.size() - 1) : name;
+}
+
 std::string BudgetClaimKey(const BudgetClaim& claim) {
   return claim.instance + kSeparator + claim.organisation;
 }
@@ -20,7 +35,7 @@
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
   archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
-          claim.spent, claim.stranded);
+          claim.spent, claim.stranded, claim.generation);
   return out.str();
 }
 
@@ -37,7 +52,7 @@
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
     archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
-            claim.spent, claim.stranded);
+            claim.spent, claim.stranded, claim.generation);
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/state/budget_claim.h
+++ b/src/state/budget_claim.h
@@ -23,10 +23,21 @@
   //! The part of `claimed` that comes from predecessors and can't be spent any
   //! more, but is not known to be spent.
   int64_t stranded = 0;
+  //! How often the log had come back from an older copy when the claim was
+  //! written.
+  int64_t generation = 0;
 
   friend bool operator==(const BudgetClaim&, const BudgetClaim&) = default;
 };
 
+//! Returns the name under which other instances record what an instance had
+//! claimed and the log has lost, while the instance does not record it itself.
+//! Thread-safe, like the next two.
+std::string SubstituteName(const std::string& instance);
+bool IsSubstituteName(const std::string& name);
+//! Returns the instance that a name, of it or of its substitute, stands for.
+std::string NameOfInstance(const std::string& name);
+
 //! Returns the log key of a claim; a newer record of the same key replaces it.
 //! Thread-safe.
 std::string BudgetClaimKey(const BudgetClaim& claim);
--- a/src/state/share_lock.cpp
+++ b/src/state/share_lock.cpp
@@ -20,7 +20,7 @@
 std::string EncodeShareLock(const ShareLock& lock) {
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
-  archive(lock.incarnation, lock.boot, lock.at);
+  archive(lock.incarnation, lock.boot, lock.at, lock.generation);
   return out.str();
 }
 
@@ -34,7 +34,7 @@
   try {
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
-    archive(lock.incarnation, lock.boot, lock.at);
+    archive(lock.incarnation, lock.boot, lock.at, lock.generation);
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/state/share_lock.h
+++ b/src/state/share_lock.h
@@ -20,6 +20,10 @@
   uint64_t incarnation = 0;
   std::string boot;  //!< Boot ID of the machine.
   Millis at;         //!< Start of the lock, as time since boot.
+  //! How often the log had come back from an older copy when the lock was
+  //! written. A lock from before a restore says nothing: a newer one may have
+  //! been lost.
+  int64_t generation = 0;
 
   friend bool operator==(const ShareLock&, const ShareLock&) = default;
 };
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -38,15 +38,27 @@
     if (batch.lock) {
       records_.emplace_back(*batch.lock);
     }
-    for (const BudgetClaim& it : batch.claims) {
+    for (const auto* claims : {&batch.claims, &batch.substitute_claims}) {
+      for (const BudgetClaim& it : *claims) {
+        records_.emplace_back(it);
+      }
+    }
+    for (const ShareLock& it : batch.substitute_locks) {
       records_.emplace_back(it);
     }
   }
+  //! Comes back from the copy that had `end` records.
+  void Restore(size_t end) {
+    records_.resize(end);
+    ++generation_;
+  }
+  int64_t generation() const { return generation_; }
   size_t end() const { return records_.size(); }
   const Record& at(size_t i) const { return records_[i]; }
 
  private:
   std::vector<Record> records_;
+  int64_t generation_ = 1;
 };
 
 //! An instance with its read position in the topic.
@@ -57,11 +69,23 @@
          uint64_t incarnation,
          Millis now,
          const std::string& boot)
-      : topic_(topic), shares_({name, incarnation, boot}) {
+      : topic_(topic),
+        generation_(topic->generation()),
+        shares_({name, incarnation, boot}) {
     shares_.SetPredecessorGoneAt(now);
-    Read(now);
+    shares_.SetGeneration(now, topic->generation());
+    List(now);
   }
 
+  //! Learns that the topic came back from an older copy.
+  void SeeRestore(Millis now) {
+    batch_ = {};
+    generation_ = topic_->generation();
+    shares_.SetGeneration(now, generation_);
+    List(now);
+  }
+  bool knows_restore() const { return generation_ == topic_->generation(); }
+
   void Read(Millis now) {
     for (; at_ < topic_->end(); ++at_) {
       std::visit([&](const auto& it) { shares_.Apply(it); }, topic_->at(at_));
@@ -120,6 +144,7 @@
 
  private:
   FakeTopic* topic_;
+  int64_t generation_;
   BudgetShares shares_;
   size_t at_ = 0;
   ClaimBatch batch_;
@@ -375,12 +400,155 @@
   }
 }
 
+//! Two instances of which one raises its claim after the copy was taken from
+//! which the log comes back.
+class LostClaimTest : public testing::Test {
+ protected:
+  static constexpr int64_t kTotal = 100000;
+  static constexpr Millis kRestoredAt{2000};
+
+  LostClaimTest()
+      : a_(MakeHolder("a", 1, Millis(1000))),
+        b_(MakeHolder("b", 2, Millis(1000))) {
+    for (Holder* it : {a_.get(), b_.get()}) {
+      it->AppendAndRead(Millis(1000));
+    }
+    const size_t copy = topic_.end();
+    a_->shares().Reserve(Millis(1001), kName, 80000);
+    a_->AppendAndRead(Millis(1002));
+    EXPECT_EQ(a_->shares().Reserve(Millis(1003), kName, 80000),
+              BudgetShares::Verdict::kGranted);
+    b_->Read(Millis(1004));
+    topic_.Restore(copy);
+  }
+
+  std::unique_ptr<Holder> MakeHolder(const std::string& name,
+                                     uint64_t incarnation,
+                                     Millis now) {
+    auto holder =
+        std::make_unique<Holder>(&topic_, name, incarnation, now, "boot");
+    holder->shares().SetBudgets(Prepaid(kTotal));
+    holder->shares().SetInstances(2);
+    return holder;
+  }
+
+  //! Asks for tokens until `until`, and returns whether they were granted.
+  static bool Gets(Holder* holder, int64_t tokens, Millis from, Millis until) {
+    for (Millis now = from; now < until; now = now + Millis(50)) {
+      if (holder->shares().Reserve(now, kName, tokens) ==
+          BudgetShares::Verdict::kGranted) {
+        return true;
+      }
+      holder->AppendAndRead(now);
+    }
+    return false;
+  }
+
+  FakeTopic topic_;
+  std::unique_ptr<Holder> a_;
+  std::unique_ptr<Holder> b_;
+};
+
+TEST_F(LostClaimTest, IsNotGrantedAgainBeforeItIsRecordedAgain) {
+  b_->SeeRestore(kRestoredAt);
+  EXPECT_FALSE(Gets(b_.get(), 50000, kRestoredAt, kRestoredAt + Millis(5000)));
+}
+
+TEST_F(LostClaimTest, IsNotGrantedAgainAfterItIsRecordedAgain) {
+  for (Holder* it : {a_.get(), b_.get()}) {
+    it->SeeRestore(kRestoredAt);
+    it->AppendAndRead(kRestoredAt);
+  }
+  EXPECT_FALSE(Gets(b_.get(), 50000, kRestoredAt, kRestoredAt + Millis(5000)));
+  EXPECT_TRUE(Gets(b_.get(), 10000, kRestoredAt + Millis(5000),
+                   kRestoredAt + Millis(6000)));
+}
+
+TEST_F(LostClaimTest, RestIsGrantedOnceTheOthersHaveWritten) {
+  for (Holder* it : {a_.get(), b_.get()}) {
+    it->SeeRestore(kRestoredAt);
+    it->AppendAndRead(kRestoredAt);
+  }
+  EXPECT_TRUE(Gets(b_.get(), 10000, kRestoredAt, kRestoredAt + Millis(200)));
+}
+
+TEST_F(LostClaimTest, OfInstanceThatDiedIsNotGrantedAgain) {
+  b_->SeeRestore(kRestoredAt);
+  EXPECT_FALSE(Gets(b_.get(), 50000, kRestoredAt, kRestoredAt + Millis(3000)));
+  // An instance that knew nothing of the claim.
+  const auto c = MakeHolder("c", 3, kRestoredAt + Millis(3000));
+  EXPECT_FALSE(Gets(c.get(), 50000, kRestoredAt + Millis(3000),
+                    kRestoredAt + Millis(9000)));
+  EXPECT_TRUE(Gets(b_.get(), 5000, kRestoredAt + Millis(9000),
+                   kRestoredAt + Millis(10000)));
+}
+
+TEST_F(LostClaimTest, IsNotGrantedToTheSuccessor) {
+  b_->SeeRestore(kRestoredAt);
+  const auto successor = MakeHolder("a", 3, kRestoredAt);
+  for (Millis now = kRestoredAt; now < kRestoredAt + Millis(5000);
+       now = now + Millis(50)) {
+    b_->AppendAndRead(now);
+    successor->AppendAndRead(now);
+    EXPECT_EQ(successor->shares().Reserve(now, kName, 50000),
+              BudgetShares::Verdict::kInsufficient);
+  }
+}
+
+TEST_F(LostClaimTest, OfInstanceThatComesBackLateCountsOnce) {
+  b_->SeeRestore(kRestoredAt);
+  EXPECT_FALSE(Gets(b_.get(), 50000, kRestoredAt, kRestoredAt + Millis(3000)));
+  const Millis late = kRestoredAt + Millis(3000);
+  a_->SeeRestore(late);
+  a_->AppendAndRead(late);
+  a_->shares().Settle(kName, 80000, 0);
+  // A's share is returned, so B can have it.
+  bool granted = false;
+  for (Millis now = late; now < late + Millis(60000) && !granted;
+       now = now + Millis(100)) {
+    a_->AppendAndRead(now);
+    b_->AppendAndRead(now);
+    granted = b_->shares().Reserve(now, kName, 70000) ==
+              BudgetShares::Verdict::kGranted;
+  }
+  EXPECT_TRUE(granted);
+}
+
+TEST_F(LostClaimTest, SecondRestoreDoesNotForgetIt) {
+  b_->SeeRestore(kRestoredAt);
+  topic_.Restore(topic_.end());
+  b_->SeeRestore(kRestoredAt + Millis(100));
+  EXPECT_FALSE(Gets(b_.get(), 50000, kRestoredAt, kRestoredAt + Millis(5000)));
+}
+
+TEST(BudgetSharesTest, LockOfBeforeARestoreDoesNotLimitThePredecessor) {
+  FakeTopic topic;
+  Holder a(&topic, "a", 1, Millis(1000), "boot");
+  a.shares().SetBudgets(Prepaid(1000000));
+  a.shares().Reserve(Millis(1000), kName, 5000);
+  a.AppendAndRead(Millis(1001));
+  a.shares().Reserve(Millis(1002), kName, 5000);
+  a.shares().Settle(kName, 5000, 5000);
+  a.AppendAndRead(Millis(1003));
+  const int64_t claimed = a.shares().TotalClaimed(kName);
+  // Newer locks of A, which allowed more, are lost.
+  topic.Restore(topic.end());
+  Holder successor(&topic, "a", 2, Millis(1100), "boot");
+  successor.shares().SetBudgets(Prepaid(1000000));
+  EXPECT_EQ(successor.shares().TotalClaimed(kName), claimed);
+}
+
 //! Runs instances with random delays, crashes, losses of the log and raises of
 //! the total. The spent tokens are counted independently of the instances and
 //! must stay within the largest total so far.
 class RandomRun {
  public:
-  explicit RandomRun(uint64_t seed) : random_(seed) {}
+  //! With `restores`, the total lasts for several of them.
+  RandomRun(uint64_t seed, bool restores)
+      : random_(seed),
+        restores_(restores),
+        total_(restores ? 10 * kInitialTotal : kInitialTotal),
+        max_total_(total_) {}
 
   void Run() {
     for (int i = 0; i < kHolders; ++i) {
@@ -416,8 +584,37 @@
     disconnected_[i] = false;
   }
 
+  //! The log comes back from an older copy. All connected instances have read
+  //! it up to its end before, so every claim is known to one that lives.
+  void Restore() {
+    bool known = false;
+    for (int i = 0; i < kHolders; ++i) {
+      if (!disconnected_[i] && holder_[i]->knows_restore()) {
+        holder_[i]->Read(now_);
+        known = true;
+      }
+    }
+    if (known) {
+      topic_.Restore(RandomBelow(topic_.end() + 1));
+    }
+  }
+
   void RunStep(int i) {
     Holder& holder = *holder_[i];
+    if (restores_ && RandomBelow(200) == 0) {
+      Restore();
+    }
+    if (!disconnected_[i] && !holder.knows_restore() && RandomBelow(3) == 0) {
+      // A batch of before may still be appended.
+      if (holder.has_batch() && RandomBelow(2) == 0) {
+        holder.AppendBatchWithoutAnswer();
+      }
+      holder.SeeRestore(now_);
+    }
+    if (!holder.knows_restore()) {
+      Request(i);
+      return;
+    }
     switch (RandomBelow(12)) {
       case 0:
         if (!disconnected_[i] && !holder.has_batch()) {
@@ -494,10 +691,11 @@
   }
 
   std::mt19937_64 random_;
+  bool restores_;
   FakeTopic topic_;
+  int64_t total_;
+  int64_t max_total_;
   Millis now_{5000};
-  int64_t total_ = kInitialTotal;
-  int64_t max_total_ = kInitialTotal;
   int64_t spent_ = 0;
   uint64_t incarnations_ = 0;
   std::unique_ptr<Holder> holder_[kHolders];
@@ -509,7 +707,18 @@
 TEST(BudgetSharesTest, RandomRunsNeverOverspend) {
   for (uint64_t seed = 1; seed <= 300; ++seed) {
     SCOPED_TRACE(seed);
-    RandomRun run(seed);
+    RandomRun run(seed, false);
+    run.Run();
+    if (testing::Test::HasFatalFailure()) {
+      return;
+    }
+  }
+}
+
+TEST(BudgetSharesTest, RandomRunsWithRestoresNeverOverspend) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    SCOPED_TRACE(seed);
+    RandomRun run(seed, true);
     run.Run();
     if (testing::Test::HasFatalFailure()) {
       return;
