--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -64,6 +64,7 @@
       : options_(options),
         random_(options.seed),
         call_random_(options.seed),
+        restore_random_(options.seed),
         store_(&loop_) {
     for (const char* it : {"llm", "llm", "app", "app"}) {
       AddEndpoint(it);
@@ -86,6 +87,7 @@
       SendCall();
       ProbeConfigs();
       InjectFault();
+      ScheduleRestore();
     });
     PollTick();
     loop_.After(kWarmUp + options_.fault_time, [this] { EndAllFaults(); });
@@ -320,6 +322,36 @@
     });
   }
 
+  //! Schedules the next restore of the store: from a copy of up to 5 s before,
+  //! after an outage of up to 1.5 s.
+  void ScheduleRestore() {
+    const auto random_time = [&](int64_t min_ms, int64_t max_ms) {
+      return Millis(std::uniform_int_distribution<int64_t>(
+          min_ms, max_ms)(restore_random_));
+    };
+    const Millis copy_age = random_time(100, 5000);
+    const Millis outage = random_time(0, 1500);
+    loop_.After(random_time(500, 6000), [=, this] {
+      if (faults_ended_) {
+        return;
+      }
+      loop_.After(copy_age, [=, this, copy = store_.MakeCopy()] {
+        if (faults_ended_) {
+          return;
+        }
+        ++report_.faults["restore"];
+        MarkAllDisturbed();
+        store_.faults().unresponsive = true;
+        loop_.After(outage, [=, this] {
+          MarkAllDisturbed();
+          store_.faults() = {};
+          store_.Restore(*copy);
+          ScheduleRestore();
+        });
+      });
+    });
+  }
+
   void Compact() {
     for (const char* it : {platform::kOperatorTopic, platform::kEndpointTopic,
                            platform::kBudgetTopic, platform::kInstanceTopic}) {
@@ -666,6 +698,7 @@
   ProcessRunOptions options_;
   std::mt19937_64 random_;
   std::mt19937_64 call_random_;
+  std::mt19937_64 restore_random_;
   EventLoop loop_;
   StandInStore store_;
   std::deque<Endpoint> endpoints_;  //!< Including removed ones.
