--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -618,11 +618,9 @@
   const double return_above = wanted * (account->Unclaimed(generation_) < 0
                                             ? kReturnAboveWhenOverclaimed
                                             : kReturnAbove);
-  if (account->raise_undecided) {
-    // It is unknown how much of the last raise is granted; another raise would
-    // not help.
-  } else if (!IsSettled()) {
-    // Claims of others may be missing in the log.
+  if (account->raise_undecided || !IsSettled()) {
+    // It is unknown how much of the last raise is granted, so that another one
+    // would not help, or claims of others may be missing in the log.
   } else if ((held < wanted * kRefillBelow ||
               held < static_cast<double>(account->largest_refused)) &&
              account->Unclaimed(generation_) > 0) {
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -483,6 +483,12 @@
                    kRestoredAt + Millis(10000)));
 }
 
+TEST_F(LostClaimTest, ThatNoLivingInstanceKnowsIsNotGrantedAgain) {
+  // B starts after the restore, and A has died.
+  const auto b = MakeHolder("b", 3, kRestoredAt);
+  EXPECT_FALSE(Gets(b.get(), 50000, kRestoredAt, kRestoredAt + Millis(9000)));
+}
+
 TEST_F(LostClaimTest, IsNotGrantedToTheSuccessor) {
   b_->SeeRestore(kRestoredAt);
   const auto successor = MakeHolder("a", 3, kRestoredAt);
@@ -599,7 +605,9 @@
     }
   }
 
-  void RunStep(int i) {
+  //! Restores the log at times. Returns false if the instance doesn't know of
+  //! the newest restore yet, and so only spends.
+  bool UpToDate(int i) {
     Holder& holder = *holder_[i];
     if (restores_ && RandomBelow(200) == 0) {
       Restore();
@@ -611,7 +619,12 @@
       }
       holder.SeeRestore(now_);
     }
-    if (!holder.knows_restore()) {
+    return holder.knows_restore();
+  }
+
+  void RunStep(int i) {
+    Holder& holder = *holder_[i];
+    if (!UpToDate(i)) {
       Request(i);
       return;
     }
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -146,51 +146,47 @@
   return cases;
 }
 
-//! Answers to other routes, of other types, and to two attempts.
-std::vector<EndCase> OtherCases() {
-  using End = ScriptedEndpoint::End;
+using End = ScriptedEndpoint::End;
+
+//! Answers to a stream route whose end the framing or the type hides.
+std::vector<EndCase> StreamCases() {
   const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  return {{"BeforeEndOfHead",
+           "report",
+           {{"HTTP/1.1 200 OK\r\nX-Server-Sig", End::kClose}},
+           Seen::kFailed,
+           ""},
+          {"ChunksEndInsideEvent",
+           "report",
+           {{MakeAnswer(Framing::kChunks, "id: 1\ndata: x\n\nid: 2\n",
+                        "id: 1\ndata: x\n\nid: 2\n"),
+             End::kKeepOpen}},
+           Seen::kBrokenOff,
+           kEvent1},
+          {"LengthEndsInsideEvent",
+           "report",
+           {{MakeAnswer(Framing::kLength, "id: 1\ndata: x\n\nid: 2\n",
+                        "id: 1\ndata: x\n\nid: 2\n"),
+             End::kKeepOpen}},
+           Seen::kBrokenOff,
+           kEvent1},
+          {"StreamWithoutTypeEndsInsideEvent",
+           "report",
+           {{MakeAnswer(Framing::kNone, "id: 1\ndata: x\n\nid: 2\n", whole, ""),
+             End::kClose}},
+           Seen::kBrokenOff,
+           kEvent1},
+          {"StreamWithoutTypeEndsBetweenEvents",
+           "report",
+           {{MakeAnswer(Framing::kNone, kEvent1, whole, ""), End::kClose}},
+           Seen::kUnknownEnd,
+           kEvent1}};
+}
+
+//! Answers that are not streams, some above the size that is buffered.
+std::vector<EndCase> BodyCases() {
   const std::string large(2 * 1024 * 1024, 'x');
-  const auto cut = [&](Framing framing) {
-    return ScriptedEndpoint::Answer{
-        MakeAnswer(framing, absl::StrCat(kEvent1, "id: 2\n"), whole),
-        End::kClose};
-  };
-  const auto rest = [&](Framing framing, const std::string& sent) {
-    return ScriptedEndpoint::Answer{MakeAnswer(framing, sent, kEvent2),
-                                    End::kClose};
-  };
   return {
-      {"BeforeEndOfHead",
-       "report",
-       {{"HTTP/1.1 200 OK\r\nX-Server-Sig", End::kClose}},
-       Seen::kFailed,
-       ""},
-      {"ChunksEndInsideEvent",
-       "report",
-       {{MakeAnswer(Framing::kChunks, "id: 1\ndata: x\n\nid: 2\n",
-                    "id: 1\ndata: x\n\nid: 2\n"),
-         End::kKeepOpen}},
-       Seen::kBrokenOff,
-       kEvent1},
-      {"LengthEndsInsideEvent",
-       "report",
-       {{MakeAnswer(Framing::kLength, "id: 1\ndata: x\n\nid: 2\n",
-                    "id: 1\ndata: x\n\nid: 2\n"),
-         End::kKeepOpen}},
-       Seen::kBrokenOff,
-       kEvent1},
-      {"StreamWithoutTypeEndsInsideEvent",
-       "report",
-       {{MakeAnswer(Framing::kNone, "id: 1\ndata: x\n\nid: 2\n", whole, ""),
-         End::kClose}},
-       Seen::kBrokenOff,
-       kEvent1},
-      {"StreamWithoutTypeEndsBetweenEvents",
-       "report",
-       {{MakeAnswer(Framing::kNone, kEvent1, whole, ""), End::kClose}},
-       Seen::kUnknownEnd,
-       kEvent1},
       {"OtherTypeOnStreamRoute",
        "report",
        {{MakeAnswer(Framing::kNone, "{}", "{}", "application/json"),
@@ -225,7 +221,14 @@
        {{MakeAnswer(Framing::kChunks, large, large, "text/plain"),
          End::kClose}},
        Seen::kComplete,
-       large},
+       large}};
+}
+
+//! Broken answers after which another endpoint can't go on.
+std::vector<EndCase> NotResumedCases() {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const std::string large(2 * 1024 * 1024, 'x');
+  return {
       {"LargeAnswerOnResumableRouteBreaksOff",
        "ask",
        {{MakeAnswer(Framing::kChunks, large, large + "x", "application/json"),
@@ -239,38 +242,51 @@
        {{MakeAnswer(Framing::kChunks, "data: x\n\n", whole), End::kClose},
         {MakeAnswer(Framing::kChunks, whole, whole), End::kClose}},
        Seen::kBrokenOff,
-       "data: x\n\n"},
-      {"ResumedWithChunksAfterChunks",
-       "ask",
-       {cut(Framing::kChunks), rest(Framing::kChunks, kEvent2)},
-       Seen::kComplete,
-       whole},
-      {"ResumedWithLengthAfterNoFraming",
-       "ask",
-       {cut(Framing::kNone), rest(Framing::kLength, kEvent2)},
-       Seen::kUnknownEnd,
-       whole},
-      {"ResumedWithoutFramingAfterNoFraming",
-       "ask",
-       {cut(Framing::kNone), rest(Framing::kHttp10, kEvent2)},
-       Seen::kUnknownEnd,
-       whole},
-      {"ResumedWithoutFramingAfterChunks",
-       "ask",
-       {cut(Framing::kChunks), rest(Framing::kNone, kEvent2)},
-       Seen::kBrokenOff,
-       whole},
-      {"ResumedWithoutFramingAfterLengthSendsNothing",
-       "ask",
-       {cut(Framing::kLength), rest(Framing::kNone, "")},
-       Seen::kBrokenOff,
-       kEvent1},
-      {"ResumedInsideEventAfterChunks",
-       "ask",
-       {cut(Framing::kChunks), rest(Framing::kNone, "id: 2\n")},
-       Seen::kBrokenOff,
-       kEvent1},
+       "data: x\n\n"}};
+}
+
+//! Streams that a second attempt resumes, with the framing of both.
+std::vector<EndCase> ResumedCases() {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const auto cut = [&](Framing framing) {
+    return ScriptedEndpoint::Answer{
+        MakeAnswer(framing, absl::StrCat(kEvent1, "id: 2\n"), whole),
+        End::kClose};
   };
+  const auto rest = [&](Framing framing, const std::string& sent) {
+    return ScriptedEndpoint::Answer{MakeAnswer(framing, sent, kEvent2),
+                                    End::kClose};
+  };
+  return {{"ResumedWithChunksAfterChunks",
+           "ask",
+           {cut(Framing::kChunks), rest(Framing::kChunks, kEvent2)},
+           Seen::kComplete,
+           whole},
+          {"ResumedWithLengthAfterNoFraming",
+           "ask",
+           {cut(Framing::kNone), rest(Framing::kLength, kEvent2)},
+           Seen::kUnknownEnd,
+           whole},
+          {"ResumedWithoutFramingAfterNoFraming",
+           "ask",
+           {cut(Framing::kNone), rest(Framing::kHttp10, kEvent2)},
+           Seen::kUnknownEnd,
+           whole},
+          {"ResumedWithoutFramingAfterChunks",
+           "ask",
+           {cut(Framing::kChunks), rest(Framing::kNone, kEvent2)},
+           Seen::kBrokenOff,
+           whole},
+          {"ResumedWithoutFramingAfterLengthSendsNothing",
+           "ask",
+           {cut(Framing::kLength), rest(Framing::kNone, "")},
+           Seen::kBrokenOff,
+           kEvent1},
+          {"ResumedInsideEventAfterChunks",
+           "ask",
+           {cut(Framing::kChunks), rest(Framing::kNone, "id: 2\n")},
+           Seen::kBrokenOff,
+           kEvent1}};
 }
 
 class AnswerEndTest : public FrontTest {
@@ -383,9 +399,21 @@
                          AnswerEndCaseTest,
                          testing::ValuesIn(BreakCases()),
                          CaseName);
-INSTANTIATE_TEST_SUITE_P(Others,
+INSTANTIATE_TEST_SUITE_P(Streams,
+                         AnswerEndCaseTest,
+                         testing::ValuesIn(StreamCases()),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(Bodies,
+                         AnswerEndCaseTest,
+                         testing::ValuesIn(BodyCases()),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(NotResumed,
+                         AnswerEndCaseTest,
+                         testing::ValuesIn(NotResumedCases()),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(Resumed,
                          AnswerEndCaseTest,
-                         testing::ValuesIn(OtherCases()),
+                         testing::ValuesIn(ResumedCases()),
                          CaseName);
 
 }  // namespace
