Read claims and locks that earlier versions wrote without a generation

Beside instances of an earlier version, as in a rolling upgrade, an instance took such records for unreadable and did not count them as claimed. RecordsWithoutGenerationAreRead fails without this change.

--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -52,7 +52,11 @@
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
     archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
-            claim.spent, claim.stranded, claim.generation);
+            claim.spent, claim.stranded);
+    // Earlier versions wrote no generation.
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      archive(claim.generation);
+    }
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/src/state/share_lock.cpp
+++ b/src/state/share_lock.cpp
@@ -34,7 +34,11 @@
   try {
     std::istringstream in(value);
     cereal::PortableBinaryInputArchive archive(in);
-    archive(lock.incarnation, lock.boot, lock.at, lock.generation);
+    archive(lock.incarnation, lock.boot, lock.at);
+    // Earlier versions wrote no generation.
+    if (in.peek() != std::istringstream::traits_type::eof()) {
+      archive(lock.generation);
+    }
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -400,6 +400,28 @@
   }
 }
 
+TEST(BudgetClaimTest, RecordsWithoutGenerationAreRead) {
+  BudgetClaim claim;
+  claim.instance = "a";
+  claim.organisation = kName;
+  claim.claimed = 7;
+  claim.generation = 3;
+  const std::string text = EncodeBudgetClaim(claim);
+  EXPECT_EQ(DecodeBudgetClaim(BudgetClaimKey(claim), text), claim);
+  claim.generation = 0;
+  EXPECT_EQ(DecodeBudgetClaim(BudgetClaimKey(claim),
+                              text.substr(0, text.size() - sizeof(int64_t))),
+            claim);
+  ShareLock lock{"a", 1, "boot", Millis(5), 3};
+  const std::string lock_text = EncodeShareLock(lock);
+  EXPECT_EQ(DecodeShareLock(ShareLockKey(lock), lock_text), lock);
+  lock.generation = 0;
+  EXPECT_EQ(
+      DecodeShareLock(ShareLockKey(lock),
+                      lock_text.substr(0, lock_text.size() - sizeof(int64_t))),
+      lock);
+}
+
 //! Two instances of which one raises its claim after the copy was taken from
 //! which the log comes back.
 class LostClaimTest : public testing::Test {
