--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -185,12 +185,13 @@
     //! Tokens of predecessors that can't be spent any more but aren't known to
     //! be spent.
     int64_t stranded() const { return base_claimed - base_spent; }
-    //! The part of a remembered claim that the log lacks, apart from what a
-    //! substitute records.
+    //! The part of a remembered claim that the instance's own record in the log
+    //! lacks, whether a substitute records it or not.
     int64_t Lost(const std::string& instance,
                  const BudgetClaim& remembered_claim,
                  int64_t generation) const;
-    //! What the log lacks of all remembered claims and no substitute records.
+    //! The part of all remembered claims that neither the instances' own records
+    //! nor substitutes have.
     int64_t Unrecorded(int64_t generation) const;
     //! Tokens that no instance claims; negative while the claims exceed the
     //! budget.
--- a/src/transport/relay/answer_head.h
+++ b/src/transport/relay/answer_head.h
@@ -15,6 +15,8 @@
   int status = 200;
   std::string reason;
   HttpFields fields;
+  //! How the caller recognises the end of the body. HTTP/1.0 callers get no
+  //! chunks, whatever this says.
   BodyFraming framing = BodyFraming::kChunks;
   uint64_t length = 0;            //!< Of the body, if it is framed by length.
   bool close_connection = false;  //!< Close after this answer.
