--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -190,8 +190,8 @@
     int64_t Lost(const std::string& instance,
                  const BudgetClaim& remembered_claim,
                  int64_t generation) const;
-    //! The part of all remembered claims that neither the instances' own records
-    //! nor substitutes have.
+    //! The part of all remembered claims that neither the instances' own
+    //! records nor substitutes have.
     int64_t Unrecorded(int64_t generation) const;
     //! Tokens that no instance claims; negative while the claims exceed the
     //! budget.
