--- a/src/coordination/prompt_part_guard.cpp
+++ b/src/coordination/prompt_part_guard.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace tamaracktrail {
 
@@ -108,6 +109,11 @@
       [](Millis time, const Record& it) { return time < it.at; });
   const auto all = static_cast<uint32_t>((uint64_t{1} << n) - 1);
   records_.insert(place, {{endpoint, considered, all, 0}, at, now});
+  learned_.push_back({endpoint, considered, all, (now - at).count()});
+}
+
+std::vector<PromptPartGuard::Crash> PromptPartGuard::TakeLearned() {
+  return std::exchange(learned_, {});
 }
 
 void PromptPartGuard::OnAnswered(Millis now, uint64_t part) {
--- a/src/coordination/prompt_part_guard.h
+++ b/src/coordination/prompt_part_guard.h
@@ -63,6 +63,9 @@
   //! Number of crashes that implicate the part and did not happen together.
   int CountCrashes(uint64_t part) const;
 
+  //! Returns the crashes that became known since the last call, for the log.
+  std::vector<Crash> TakeLearned();
+
   //! Drops expired state.
   void OnTick(Millis now);
 
@@ -78,6 +81,7 @@
   std::set<uint64_t> BlockedParts(Millis now) const;
 
   std::vector<Record> records_;  //!< Oldest first.
+  std::vector<Crash> learned_;   //!< Since the last TakeLearned.
   Millis repeated_at_;           //!< Last report of what blocks a part.
 };
 
--- a/src/transport/peer_gossip.cpp
+++ b/src/transport/peer_gossip.cpp
@@ -41,13 +41,13 @@
   peers_ = addresses;
 }
 
-void PeerGossip::Send(const Report& report) {
+bool PeerGossip::Send(const Report& report) {
   std::ostringstream out;
   cereal::PortableBinaryOutputArchive archive(out);
   archive(report);
   const std::string bytes = out.str();
   if (bytes.size() > kMaxReportBytes) {
-    return;
+    return false;
   }
   for (const std::string& it : peers_) {
     const auto address = ParseSocketAddress(it);
@@ -56,6 +56,7 @@
              reinterpret_cast<const sockaddr*>(&*address), sizeof(*address));
     }
   }
+  return true;
 }
 
 void PeerGossip::OnReady(uint32_t) {
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -68,8 +68,8 @@
   size_t peers() const { return peers_.size(); }
 
   //! Sends a report to all peers; datagrams that the kernel does not accept are
-  //! lost. A report above the size limit is not sent.
-  void Send(const Report& report);
+  //! lost. Returns false for a report above the size limit, which is not sent.
+  bool Send(const Report& report);
 
  private:
   void OnReady(uint32_t events) override;
