--- a/tests/soak/instance_process.cpp
+++ b/tests/soak/instance_process.cpp
@@ -20,7 +20,8 @@
                                  const std::string& binary,
                                  const std::string& folder,
                                  std::string name,
-                                 const std::string& store_address)
+                                 const std::string& store_address,
+                                 const std::string& data_centre)
     : binary_(binary),
       name_(std::move(name)),
       callers_address_(FreeAddress()),
@@ -29,8 +30,8 @@
       log_path_(absl::StrCat(folder, "/", name_, ".log")),
       store_link_(loop, store_address) {
   std::ofstream out(settings_path_);
-  out << "[instance]\nname = " << name_ << "\ndata_centre = dc-1\n"
-      << "[listen]\ncallers = " << callers_address_
+  out << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
+      << "\n[listen]\ncallers = " << callers_address_
       << "\nhealth = " << health_address_ << "\npeers = " << FreeAddress()
       << "\nmetrics = " << FreeAddress()
       << "\n[store]\naddress = " << store_link_.address()
--- a/tests/soak/instance_process.h
+++ b/tests/soak/instance_process.h
@@ -21,7 +21,8 @@
                   const std::string& binary,
                   const std::string& folder,
                   std::string name,
-                  const std::string& store_address);
+                  const std::string& store_address,
+                  const std::string& data_centre = "dc-1");
   ~InstanceProcess();  //!< Kills the process.
 
   const std::string& name() const { return name_; }
