Judge whole contents by the same evidence as prompt parts

Callers: a sound request that was repeated to the letter and open at two crashes was refused for ten minutes, also if endpoints had answered it in between; a content that does crash endpoints could drop out of the reports, which held the 32 newest crashes, since every request that was open at a crash took a place, also those in the middle of their answer.

Cause: two guards with different rules. Contents were counted at each lost connection, without regard to answers; parts only if nothing had arrived, and an answer cleared them.

Change: a content is one more unit of a crash, after the shared parts. Only requests without an answer are implicated, an answer clears the unit everywhere, two endpoints block a content and three separate crashes a part, for 30 s that double with each further crash. Reports and memory keep what is closest to a block instead of the newest. One record and one report replace two.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -11,29 +11,18 @@
 //! time.
 constexpr Millis kCrashWindow{600};
 
-//! Endpoints that one content may crash. The platform's contract allows three;
-//! one less leaves room for crashes that other instances see at the same time.
-constexpr size_t kMaxCrashes = 2;
-
-//! Crashes of a content are remembered for this time after its last one.
-//! Callers repeat crashing content within minutes or not at all.
-constexpr Millis kContentRetention{10 * 60 * 1000};
-
-//! Limit of contents that are remembered.
-constexpr size_t kMaxContents = 10000;
-
 }  // namespace
 
 void CrashGuard::OnConnectionLost(Millis now,
-                                  uint64_t content,
                                   uint64_t endpoint,
-                                  std::vector<uint64_t> unanswered_parts) {
+                                  OpenRequest request) {
   std::vector<LostConnection>& lost = lost_connections_[endpoint];
   const bool other_content_lost =
       std::any_of(lost.begin(), lost.end(), [&](const LostConnection& it) {
-        return now - it.at <= kCrashWindow && it.content != content;
+        return now - it.at <= kCrashWindow &&
+               it.request.content != request.content;
       });
-  lost.push_back({now, content, std::move(unanswered_parts)});
+  lost.push_back({now, std::move(request)});
   const auto down = last_down_.find(endpoint);
   if (other_content_lost ||
       (down != last_down_.end() && now - down->second <= kCrashWindow)) {
@@ -48,17 +37,22 @@
     return;
   }
   for (const LostConnection& lost : it->second) {
-    if (now - lost.at <= kCrashWindow) {
-      AddCrash(now, {lost.content, endpoint});
-      parts_.OnCrash(now, lost.at, endpoint, lost.unanswered_parts);
+    if (now - lost.at <= kCrashWindow && !lost.request.answered) {
+      suspects_.OnCrash(now, lost.at, endpoint, lost.request.parts,
+                        lost.request.content);
     }
   }
   lost_connections_.erase(it);
 }
 
-void CrashGuard::OnReported(Millis now, const Crash& crash) {
-  if (AddCrash(now, crash)) {
-    OnEndpointDown(now, crash.second);
+void CrashGuard::OnReport(Millis now,
+                          const std::vector<SuspectCrash>& crashes) {
+  suspects_.OnReport(now, crashes);
+  for (const SuspectCrash& it : crashes) {
+    // Reports repeat older crashes, and the endpoint may be back since.
+    if (Millis(it.age_ms) <= kCrashWindow) {
+      OnEndpointDown(now, it.endpoint);
+    }
   }
 }
 
@@ -71,50 +65,8 @@
   return lost != lost_connections_.end() && lost->second.back().at >= since;
 }
 
-bool CrashGuard::AddCrash(Millis now, const Crash& crash) {
-  if (contents_.size() >= kMaxContents && !contents_.contains(crash.first)) {
-    contents_.erase(contents_.begin());
-  }
-  Content& content = contents_[crash.first];
-  if (!content.endpoints.insert(crash.second).second) {
-    return false;
-  }
-  content.last_crash = now;
-  return true;
-}
-
-bool CrashGuard::IsBlocked(uint64_t content) const {
-  const auto it = contents_.find(content);
-  return it != contents_.end() && it->second.endpoints.size() >= kMaxCrashes;
-}
-
-bool CrashGuard::IsSuspect(uint64_t content) const {
-  return contents_.contains(content);
-}
-
-std::vector<CrashGuard::Crash> CrashGuard::KnownCrashes(size_t n) const {
-  std::vector<std::pair<Millis, uint64_t>> newest;
-  for (const auto& [content, it] : contents_) {
-    newest.emplace_back(it.last_crash, content);
-  }
-  std::sort(newest.rbegin(), newest.rend());
-  std::vector<Crash> known;
-  for (const auto& [last, content] : newest) {
-    for (const uint64_t endpoint : contents_.at(content).endpoints) {
-      if (known.size() == n) {
-        return known;
-      }
-      known.emplace_back(content, endpoint);
-    }
-  }
-  return known;
-}
-
 void CrashGuard::OnTick(Millis now) {
-  std::erase_if(contents_, [&](const auto& it) {
-    return now - it.second.last_crash > kContentRetention;
-  });
-  parts_.OnTick(now);
+  suspects_.OnTick(now);
   std::erase_if(last_down_,
                 [&](const auto& it) { return now - it.second > kCrashWindow; });
   std::erase_if(lost_connections_, [&](const auto& it) {
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -9,7 +9,7 @@
 
 #include "absl/status/statusor.h"
 #include "coordination/endpoint_load.h"
-#include "coordination/prompt_part_guard.h"
+#include "coordination/suspect_crash.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/io_handler.h"
@@ -33,17 +33,13 @@
     //! The sender's own load on each endpoint, by the hash of the endpoint's
     //! incarnation.
     std::vector<std::pair<uint64_t, EndpointLoad>> loads;
-    //! Hashes of the content and of the endpoint for each crash; see
-    //! CrashGuard.
-    std::vector<std::pair<uint64_t, uint64_t>> crashes;
-    //! Crashes that implicate prompt parts.
-    std::vector<PromptPartGuard::Crash> part_crashes;
+    std::vector<SuspectCrash> crashes;
 
     //! Whether the reports agree in configuration version, loads and
     //! crashes; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version && loads == other.loads &&
-             crashes == other.crashes && part_crashes == other.part_crashes;
+             crashes == other.crashes;
     }
 
     friend bool operator==(const Report&, const Report&) = default;
@@ -51,7 +47,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms, address,
-              loads, crashes, part_crashes);
+              loads, crashes);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -241,7 +241,7 @@
   call_ = std::make_unique<EndpointCall>(context_->loop, &context_->pool,
                                          options, this);
   answer_outcome_ = AttemptOutcome::kAnswered;
-  parts_cleared_ = false;
+  cleared_of_crashes_ = false;
   answer_framing_.reset();
   resuming_ = head_sent_;
   discarded_bytes_ = 0;
@@ -344,13 +344,12 @@
   progress.head_sent = head_sent_;
   progress.event_sent = splitter_.event_count() > 0;
   progress.retry_allowed = context_->RetryBudgetFor(service_->name).HasRetry();
+  const CrashSuspects& suspects = context_->crashes.suspects();
   progress.crashes_endpoints =
-      context_->crashes.IsSuspect(content_hash_) ||
-      (!parts_cleared_ &&
+      !cleared_of_crashes_ &&
+      (suspects.IsSuspect(content_hash_) ||
        std::any_of(shared_parts_.begin(), shared_parts_.end(),
-                   [&](uint64_t part) {
-                     return context_->crashes.parts().IsSuspect(part);
-                   }));
+                   [&](uint64_t part) { return suspects.IsSuspect(part); }));
   const auto usable =
       context_->registry.Usable(context_->loop->Now(), service_->name);
   progress.has_untried_endpoint =
@@ -376,8 +375,8 @@
                                  outcome == AttemptOutcome::kNotSent);
   if (outcome == AttemptOutcome::kBroken && ticket_) {
     context_->crashes.OnConnectionLost(
-        context_->loop->Now(), content_hash_, ticket_->incarnation_hash,
-        parts_cleared_ ? std::vector<uint64_t>() : shared_parts_);
+        context_->loop->Now(), ticket_->incarnation_hash,
+        {content_hash_, shared_parts_, cleared_of_crashes_});
   }
   if (outcome == AttemptOutcome::kNotSent && ticket_) {
     context_->crashes.OnEndpointDown(context_->loop->Now(),
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -104,8 +104,9 @@
   //! Whether the body of the present answer may be sent to the caller.
   bool IsForCaller() const;
   void ForwardEvents(const std::string& bytes);
-  //! The endpoint has answered: the prompt's parts don't crash it.
-  void ClearParts();
+  //! The endpoint has answered: neither the content nor a part of the prompt
+  //! crashes it.
+  void ClearOfCrashes();
   void DeliverBuffered();
   void EndStream();
 
@@ -156,7 +157,7 @@
   bool head_sent_ = false;
   //! A 2xx answer was sent from the buffer.
   bool sent_buffered_success_ = false;
-  bool parts_cleared_ = false;  //!< During the present attempt.
+  bool cleared_of_crashes_ = false;  //!< By the present attempt.
   int64_t events_before_attempt_ = 0;
   bool resuming_ = false;       //!< The present attempt continues a stream.
   size_t discarded_bytes_ = 0;  //!< Of bodies that are not for the caller.
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -119,17 +119,24 @@
 
 bool RelayTask::CrashesEndpoints() const {
   const Millis now = context_->loop->Now();
+  const CrashSuspects& suspects = context_->crashes.suspects();
   for (size_t i = 0; i < shared_parts_.size(); ++i) {
-    if (context_->crashes.parts().IsBlocked(now, shared_parts_[i])) {
+    if (suspects.IsPartBlocked(now, shared_parts_[i])) {
       LogLine(context_->log, "part_blocked")
           .Add("id", request_id_)
           .Add("part", prompt_->parts[i].id)
-          .Add("crashes",
-               context_->crashes.parts().CountCrashes(shared_parts_[i]));
+          .Add("crashes", suspects.CountCrashes(shared_parts_[i]));
       return true;
     }
   }
-  return context_->crashes.IsBlocked(content_hash_);
+  if (suspects.IsContentBlocked(now, content_hash_)) {
+    LogLine(context_->log, "content_blocked")
+        .Add("id", request_id_)
+        .Add("content", content_hash_)
+        .Add("crashes", suspects.CountCrashes(content_hash_));
+    return true;
+  }
+  return false;
 }
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -145,14 +145,17 @@
   }
 }
 
-void RelayTask::ClearParts() {
-  if (parts_cleared_) {
+void RelayTask::ClearOfCrashes() {
+  if (cleared_of_crashes_) {
     return;
   }
-  parts_cleared_ = true;
+  cleared_of_crashes_ = true;
+  const Millis now = context_->loop->Now();
+  CrashSuspects& suspects = context_->crashes.suspects();
   for (const uint64_t it : shared_parts_) {
-    context_->crashes.parts().OnAnswered(context_->loop->Now(), it);
+    suspects.OnAnswered(now, it);
   }
+  suspects.OnAnswered(now, content_hash_);
 }
 
 void RelayTask::ForwardEvents(const std::string& bytes) {
@@ -161,7 +164,7 @@
   }
   // An endpoint that crashes at its first token may still send it.
   if (splitter_.event_count() > events_before_attempt_ + 1) {
-    ClearParts();
+    ClearOfCrashes();
   }
   const Millis now = context_->loop->Now();
   if (!head_sent_) {
@@ -221,7 +224,7 @@
 
 void RelayTask::FinishAnswer() {
   if (answer_outcome_ == AttemptOutcome::kAnswered) {
-    ClearParts();
+    ClearOfCrashes();
   }
   FinishAttempt(answer_outcome_, "answer");
 }
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -236,7 +236,7 @@
   report.incarnation = 7;
   report.instance = "a";
   report.loads = {{1, {100, 2}}};
-  report.crashes = {{5, 6}};
+  report.crashes = {{5, {6, 7}, 3, 20}};
   a.SetPeers({address_b});
   a.Send(report);
   loop.After(Millis(2000), [&] { loop.Quit(); });
