Check a connection that broke before an answer by connecting again

Callers: a request that crashes endpoints was sent to a fourth one although three had crashed.

Cause: a broken connection counts as a crash only if another connection to the endpoint shows it within 600 ms. An instance with a single open request there has no other one, and the crash did not count.

Change: the instance connects to the endpoint once more, without a request. A refused connection, or none within 300 ms, shows that the endpoint is down. At most one check an endpoint is open at a time.

--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -6,6 +6,7 @@
 
 #include "state/routing_config.h"
 #include "transport/event_loop.h"
+#include "transport/relay/connection_probe.h"
 #include "transport/relay/relay_task.h"
 
 namespace tamaracktrail {
@@ -19,6 +20,9 @@
 //! instances that have started and that the others do not count yet.
 constexpr double kRetryBudgetFraction = 0.8;
 
+//! A crashed endpoint refuses connections at once if its machine is alive.
+constexpr Millis kCrashCheckTimeout{300};
+
 }  // namespace
 
 RelayContext::RelayContext(EventLoop* event_loop,
@@ -81,6 +85,21 @@
   }
 }
 
+void RelayContext::CheckForCrash(uint64_t endpoint,
+                                 const std::string& address) {
+  if (crash_checks.contains(endpoint)) {
+    return;
+  }
+  crash_checks[endpoint] = std::make_unique<ConnectionProbe>(
+      loop, address, kCrashCheckTimeout, [this, endpoint](bool accepts) {
+        // Keeps the probe alive until its callback has returned.
+        const auto done = crash_checks.extract(endpoint);
+        if (!accepts) {
+          crashes.OnEndpointDown(loop->Now(), endpoint);
+        }
+      });
+}
+
 double RelayContext::RandomFraction() {
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -23,6 +23,7 @@
 
 namespace tamaracktrail {
 
+class ConnectionProbe;
 class EventLog;
 class EventLoop;
 class Metrics;
@@ -67,6 +68,10 @@
   //! their `wait_order`.
   void OnSharesChanged();
 
+  //! A connection to an endpoint broke before an answer: connects to it again,
+  //! to learn at once whether it has crashed.
+  void CheckForCrash(uint64_t endpoint, const std::string& address);
+
   //! Random number, uniform in [0, 1).
   double RandomFraction();
 
@@ -84,6 +89,8 @@
   LinkCongestion congestion;
   CrashGuard crashes;
   ConnectionPool pool;
+  //! See CheckForCrash; by endpoint.
+  std::map<uint64_t, std::unique_ptr<ConnectionProbe>> crash_checks;
   std::mt19937_64 random;
   int instances = 1;
   std::map<std::string, RetryBudget> retry_budgets;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -248,6 +248,13 @@
 }
 
 void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
+  if (sent && ticket_ && !cleared_of_crashes_) {
+    const EndpointState* state =
+        context_->registry.Find(ticket_->id, ticket_->start_unix_ms);
+    if (state != nullptr) {
+      context_->CheckForCrash(ticket_->incarnation_hash, state->entry.address);
+    }
+  }
   FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
                 std::string(status.message()));
 }
--- a/tests/platform/crash_report_test.cpp
+++ b/tests/platform/crash_report_test.cpp
@@ -165,6 +165,23 @@
   StandInEndpoint* engines_[5] = {&a_, &b_, &c_, &d_, &e_};
 };
 
+TEST_F(CrashRecordTest, CrashThatOnlyOneConnectionShowsCounts) {
+  Caller* refused = nullptr;
+  const std::function<void(int)> send = [&](int n) {
+    refused = Send(RequestWithParts(absl::StrCat("fee", n), kCrashingParts));
+    loop_.After(Millis(700), [&, n] {
+      if (n < 4) {
+        send(n + 1);
+      } else {
+        Stop();
+      }
+    });
+  };
+  Run([&] { send(1); });
+  EXPECT_EQ(crashed(), 3);
+  EXPECT_EQ(refused->status(), 503);
+}
+
 TEST_F(CrashRecordTest, InstanceWithoutPeersLearnsOfCrashesBeforeItsStart) {
   settings_.instance = "node-1";
   Run([&] { CrashEngines(3, [] { Stop(); }); });
