Share crashes of endpoints with all instances through the store

Cause: crashes are few and matter everywhere, loads are many and matter nearby, but both were in one report, which goes to the own data centre alone above 16 peers. Peers also are no help to instances that are cut from them or start later.

Evidence: crash_learned on the unchanged code: no record from another data centre.

Change: each instance keeps one entry with the crashes that its own connections showed in a topic of the store, and rewrites it when a crash or an answer is missing there. Reports among peers stay as they are: they are faster nearby and work without the store.

--- a/src/coordination/crash_guard.cpp
+++ b/src/coordination/crash_guard.cpp
@@ -48,6 +48,19 @@
 void CrashGuard::OnReport(Millis now,
                           const std::vector<SuspectCrash>& crashes) {
   suspects_.OnReport(now, crashes);
+  ConfirmLostConnections(now, crashes);
+}
+
+void CrashGuard::OnEntryRead(Millis now,
+                             const std::vector<SuspectCrash>& crashes,
+                             bool is_own) {
+  suspects_.OnEntryRead(now, crashes, is_own);
+  ConfirmLostConnections(now, crashes);
+}
+
+void CrashGuard::ConfirmLostConnections(
+    Millis now,
+    const std::vector<SuspectCrash>& crashes) {
   for (const SuspectCrash& it : crashes) {
     // Reports repeat older crashes, and the endpoint may be back since.
     if (Millis(it.age_ms) <= kCrashWindow) {
--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -39,6 +39,12 @@
   //! connections that only this instance has lost.
   void OnReport(Millis now, const std::vector<SuspectCrash>& crashes);
 
+  //! An instance's entry in the topic of crashes was read; see
+  //! CrashSuspects::OnEntryRead.
+  void OnEntryRead(Millis now,
+                   const std::vector<SuspectCrash>& crashes,
+                   bool is_own);
+
   //! Whether, at or after `since`, a connection to the endpoint broke in the
   //! middle of an answer or the endpoint was found to be down. Knows about the
   //! last 600 ms.
@@ -57,6 +63,10 @@
     OpenRequest request;
   };
 
+  //! Recent crashes of others show that the endpoints are down.
+  void ConfirmLostConnections(Millis now,
+                              const std::vector<SuspectCrash>& crashes);
+
   std::map<uint64_t, std::vector<LostConnection>>
       lost_connections_;                  //!< By endpoint.
   std::map<uint64_t, Millis> last_down_;  //!< By endpoint.
--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -118,12 +118,16 @@
   crash.units.assign(parts.begin(), parts.begin() + static_cast<int64_t>(n));
   crash.units.push_back(content);
   crash.implicated = static_cast<uint32_t>((uint64_t{1} << (n + 1)) - 1);
-  if (Find(crash) == nullptr) {
-    Add(now, at, crash);
+  Record* known = Find(crash);
+  if (known == nullptr) {
+    known = Add(now, at, crash);
   }
+  known->seen_here = true;
 }
 
-void CrashSuspects::Add(Millis now, Millis at, const SuspectCrash& crash) {
+CrashSuspects::Record* CrashSuspects::Add(Millis now,
+                                          Millis at,
+                                          const SuspectCrash& crash) {
   if (records_.size() >= kMaxRecords) {
     const auto least_suspect =
         std::find_if(records_.begin(), records_.end(), [&](const Record& it) {
@@ -139,9 +143,9 @@
   const auto place = std::upper_bound(
       records_.begin(), records_.end(), at,
       [](Millis time, const Record& it) { return time < it.at; });
-  records_.insert(place, {crash, at, now});
   learned_.push_back(crash);
   learned_.back().age_ms = (now - at).count();
+  return &*records_.insert(place, {crash, at, now});
 }
 
 std::vector<SuspectCrash> CrashSuspects::TakeLearned() {
@@ -159,23 +163,82 @@
   }
 }
 
+CrashSuspects::Record* CrashSuspects::Merge(Millis now,
+                                            const SuspectCrash& crash) {
+  if (crash.units.empty() || crash.units.size() > kMaxUnits ||
+      crash.age_ms < 0 || Millis(crash.age_ms) > kRetention) {
+    return nullptr;
+  }
+  Record* known = Find(crash);
+  if (known == nullptr) {
+    return Add(now, now - Millis(crash.age_ms), crash);
+  }
+  if ((known->crash.implicated & crash.implicated) != known->crash.implicated) {
+    known->crash.implicated &= crash.implicated;
+    known->changed_at = now;
+  }
+  return known;
+}
+
 void CrashSuspects::OnReport(Millis now,
                              const std::vector<SuspectCrash>& crashes) {
   for (const SuspectCrash& it : crashes) {
-    if (it.units.empty() || it.units.size() > kMaxUnits) {
-      continue;
+    Record* known = Merge(now, it);
+    if (known != nullptr && known->crash.implicated != it.implicated) {
+      // The peer has not heard of an answer that is known here.
+      known->changed_at = now;
+    }
+  }
+}
+
+void CrashSuspects::OnEntryRead(Millis now,
+                                const std::vector<SuspectCrash>& crashes,
+                                bool is_own) {
+  for (const SuspectCrash& it : crashes) {
+    Record* known = Merge(now, it);
+    if (known != nullptr) {
+      known->written = known->written.value_or(it.implicated) & it.implicated;
+      known->in_own_entry = known->in_own_entry || is_own;
+    }
+  }
+}
+
+bool CrashSuspects::HasUnwritten() const {
+  return std::any_of(records_.begin(), records_.end(),
+                     [](const Record& it) { return it.IsUnwritten(); });
+}
+
+std::vector<SuspectCrash> CrashSuspects::MakeEntry(Millis now, size_t n) const {
+  std::vector<SuspectCrash> entry;
+  for (const bool implicates : {true, false}) {
+    for (auto it = records_.rbegin(); it != records_.rend(); ++it) {
+      const bool chosen = (it->in_own_entry || it->IsUnwritten()) &&
+                          (it->crash.implicated != 0) == implicates;
+      if (chosen && entry.size() < n) {
+        entry.push_back(it->crash);
+        entry.back().age_ms = (now - it->at).count();
+      }
     }
+  }
+  return entry;
+}
+
+void CrashSuspects::OnEntryWritten(const std::vector<SuspectCrash>& entry) {
+  for (const SuspectCrash& it : entry) {
     Record* known = Find(it);
-    if (known == nullptr) {
-      Add(now, now - Millis(it.age_ms), it);
-    } else if (known->crash.implicated != it.implicated) {
-      // One of both has heard of an answer that the other has not.
-      known->crash.implicated &= it.implicated;
-      known->changed_at = now;
+    if (known != nullptr) {
+      known->written = known->written.value_or(it.implicated) & it.implicated;
+      known->in_own_entry = true;
     }
   }
 }
 
+void CrashSuspects::OnTopicRestored() {
+  for (Record& it : records_) {
+    it.written.reset();
+  }
+}
+
 std::vector<SuspectCrash> CrashSuspects::MakeReport(Millis now, size_t n) {
   std::set<uint64_t> blocked;
   if (now - repeated_at_ >= kRepeatInterval) {
--- a/src/coordination/crash_suspects.h
+++ b/src/coordination/crash_suspects.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -39,6 +40,27 @@
   //! second what blocks a unit. What is closest to a block comes first.
   std::vector<SuspectCrash> MakeReport(Millis now, size_t n);
 
+  //! An instance's entry in the topic of crashes was read. `is_own`: this
+  //! instance, or its predecessor, wrote it.
+  void OnEntryRead(Millis now,
+                   const std::vector<SuspectCrash>& crashes,
+                   bool is_own);
+
+  //! Whether the topic lacks a crash that this instance saw, or an answer that
+  //! it knows of.
+  bool HasUnwritten() const;
+
+  //! Returns this instance's entry: at most `n` crashes, those it has to write
+  //! and those it wrote before. What still implicates a unit comes first, then
+  //! the newest.
+  std::vector<SuspectCrash> MakeEntry(Millis now, size_t n) const;
+
+  //! The entry was written.
+  void OnEntryWritten(const std::vector<SuspectCrash>& entry);
+
+  //! The topic may have lost any entry.
+  void OnTopicRestored();
+
   //! Whether requests with the part must not be sent. A block ends after a
   //! while, which doubles with each further crash.
   bool IsPartBlocked(Millis now, uint64_t part) const;
@@ -63,10 +85,22 @@
     SuspectCrash crash;
     Millis at;
     Millis changed_at;
+    bool seen_here = false;  //!< By an own connection.
+    bool in_own_entry = false;
+    //! Units that the topic's entries implicate; unset if none has the crash.
+    std::optional<uint32_t> written;
+
+    bool IsUnwritten() const {
+      return written ? *written != crash.implicated
+                     : seen_here && crash.implicated != 0;
+    }
   };
 
   Record* Find(const SuspectCrash& crash);
-  void Add(Millis now, Millis at, const SuspectCrash& crash);
+  Record* Add(Millis now, Millis at, const SuspectCrash& crash);
+  //! Adds a reported crash or merges it with the known one. Returns nullptr for
+  //! an invalid one.
+  Record* Merge(Millis now, const SuspectCrash& crash);
   std::vector<const Record*> RecordsOf(uint64_t unit) const;
   std::set<uint64_t> BlockedUnits(Millis now) const;
 
