Check for a crash when an answer without framing ends with its connection

Callers: requests whose endpoint sends one event without length or chunks and then dies were never refused, so they crashed endpoint after endpoint.

Cause: an orderly end of the connection is the only end that such an answer has. Without another connection to the endpoint nothing contradicted it, the attempt counted as answered, and that cleared its parts.

Change: such an end triggers the same connection check as a broken one; its result arrives within the 10 ms for which the end is held back anyway.

--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -96,6 +96,8 @@
   bool IsStreamAnswer() const;
   //! The present attempt's answer has its proper end.
   void FinishAnswer();
+  //! A connection to the endpoint ended: finds out whether it has crashed.
+  void CheckForCrash();
   //! Decides whether an answer that ended with the connection is complete.
   void CheckConnectionEnd();
   //! Why a stream counts as broken off, or nullptr if it doesn't. Precondition:
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -28,9 +28,9 @@
 //! Size limit of one event of a stream; events have a few kilobytes at most.
 constexpr size_t kMaxEventBytes = 256 * 1024;
 
-//! When an endpoint dies, its connections all break within this time, and an
-//! answer that ended with its connection was broken off. The end is passed on
-//! after this time.
+//! When an endpoint dies, its connections all break within this time, and it
+//! refuses new ones: an answer that ended with its connection was broken off.
+//! The end is passed on after this time.
 constexpr Millis kConnectionEndDelay{10};
 
 //! Callers honour a Retry-After of up to a third of the time that remains until
@@ -203,6 +203,7 @@
   }
   if (IsForCaller() && answer_framing_ == BodyFraming::kConnectionEnd) {
     connection_ended_at_ = context_->loop->Now();
+    CheckForCrash();
     connection_end_timer_ = context_->loop->After(
         kConnectionEndDelay, [this] { CheckConnectionEnd(); });
     return;
@@ -247,13 +248,18 @@
   return nullptr;
 }
 
+void RelayTask::CheckForCrash() {
+  const EndpointState* state =
+      ticket_ ? context_->registry.Find(ticket_->id, ticket_->start_unix_ms)
+              : nullptr;
+  if (state != nullptr) {
+    context_->CheckForCrash(ticket_->incarnation_hash, state->entry.address);
+  }
+}
+
 void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
-  if (sent && ticket_ && !cleared_of_crashes_) {
-    const EndpointState* state =
-        context_->registry.Find(ticket_->id, ticket_->start_unix_ms);
-    if (state != nullptr) {
-      context_->CheckForCrash(ticket_->incarnation_hash, state->entry.address);
-    }
+  if (sent && !cleared_of_crashes_) {
+    CheckForCrash();
   }
   FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
                 std::string(status.message()));
--- a/tests/platform/crash_report_test.cpp
+++ b/tests/platform/crash_report_test.cpp
@@ -159,6 +159,24 @@
     });
   }
 
+  //! Sends crashing requests one after the other; no other request is open.
+  //! Returns the status of the last answer.
+  int SendCrashingRequests(int n) {
+    Caller* last = nullptr;
+    const std::function<void(int)> send = [&](int i) {
+      last = Send(RequestWithParts(absl::StrCat("fee", i), kCrashingParts));
+      loop_.After(Millis(700), [&, i] {
+        if (i < n) {
+          send(i + 1);
+        } else {
+          Stop();
+        }
+      });
+    };
+    Run([&] { send(1); });
+    return last->status();
+  }
+
   StandInEndpoint c_;
   StandInEndpoint d_;
   StandInEndpoint e_;
@@ -166,20 +184,16 @@
 };
 
 TEST_F(CrashRecordTest, CrashThatOnlyOneConnectionShowsCounts) {
-  Caller* refused = nullptr;
-  const std::function<void(int)> send = [&](int n) {
-    refused = Send(RequestWithParts(absl::StrCat("fee", n), kCrashingParts));
-    loop_.After(Millis(700), [&, n] {
-      if (n < 4) {
-        send(n + 1);
-      } else {
-        Stop();
-      }
-    });
-  };
-  Run([&] { send(1); });
+  EXPECT_EQ(SendCrashingRequests(4), 503);
+  EXPECT_EQ(crashed(), 3);
+}
+
+TEST_F(CrashRecordTest, CrashBetweenEventsOfAnUnframedAnswerCounts) {
+  for (StandInEndpoint* it : engines_) {
+    it->behaviour().event_before_crash = true;
+  }
+  EXPECT_EQ(SendCrashingRequests(4), 503);
   EXPECT_EQ(crashed(), 3);
-  EXPECT_EQ(refused->status(), 503);
 }
 
 TEST_F(CrashRecordTest, InstanceWithoutPeersLearnsOfCrashesBeforeItsStart) {
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -14,6 +14,14 @@
 
 namespace tamaracktrail {
 
+namespace {
+
+//! From the start of a request that crashes the endpoint to the crash, so that
+//! what it has sent arrives.
+constexpr Millis kCrashDelay{5};
+
+}  // namespace
+
 //! One request that the endpoint handles.
 class StandInEndpoint::Task : public RequestTask {
  public:
@@ -45,7 +53,15 @@
     const auto parts = request_.fields.Find("X-Prompt-Prefix");
     if (!behaviour.crash_on_part.empty() && parts &&
         absl::StrContains(AsAbsl(*parts), behaviour.crash_on_part)) {
-      endpoint_->loop_->Defer([it = endpoint_] { it->server_.reset(); });
+      if (behaviour.event_before_crash) {
+        AnswerHead head = Head(200, "X-Server-Signature");
+        head.fields.Add("Content-Type", "text/event-stream");
+        head.framing = BodyFraming::kConnectionEnd;
+        connection_->BeginAnswer(head);
+        connection_->WriteBody("id: 1\ndata: x\n\n");
+      }
+      endpoint_->loop_->After(kCrashDelay,
+                              [it = endpoint_] { it->server_.reset(); });
       return;
     }
     if (behaviour.unresponsive) {
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -32,6 +32,8 @@
     //! Crashes when it begins a request whose prompt has this part: loses all
     //! connections and accepts none any more. Empty: never.
     std::string crash_on_part;
+    //! Sends one event of an answer without length or chunks before it crashes.
+    bool event_before_crash = false;
   };
 
   //! Listens on a free port of 127.0.0.1.
