Let blocks of crashing units end at different times on each instance

Callers: when a block ended, all instances let requests with the unit through at the same moment, so one crash after the other happened before the first was known everywhere.

Cause: all instances know the same crashes and computed the same end.

Evidence: by reading; BlocksOfInstancesDoNotEndTogether has no instance blocked a second after the end on the former code (the length had no spread), and 86 or more of 100 now.

Change: an instance lengthens its blocks by a fixed random fraction of up to a half.

--- a/src/coordination/crash_guard.h
+++ b/src/coordination/crash_guard.h
@@ -28,6 +28,9 @@
     bool answered = false;        //!< Had an answer, so it is not the cause.
   };
 
+  //! `block_spread`: see CrashSuspects.
+  explicit CrashGuard(double block_spread = 0) : suspects_(block_spread) {}
+
   //! The connection of a request broke after it was sent to an endpoint.
   void OnConnectionLost(Millis now, uint64_t endpoint, OpenRequest request);
 
--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -66,14 +66,6 @@
   return static_cast<int>(endpoints.size());
 }
 
-Millis BlockLength(int crashes, int max_crashes) {
-  Millis length = kMinBlock;
-  for (int i = max_crashes; i < crashes && length < kMaxBlock; ++i) {
-    length = length * 2;
-  }
-  return std::min(length, kMaxBlock);
-}
-
 //! Calls `handle` for each implicated unit from index `from` on.
 template <class Handle>
 void ForEachImplicated(const SuspectCrash& crash, size_t from, Handle handle) {
@@ -292,6 +284,14 @@
   return units;
 }
 
+Millis CrashSuspects::BlockLength(int crashes, int max_crashes) const {
+  Millis length = kMinBlock;
+  for (int i = max_crashes; i < crashes && length < kMaxBlock; ++i) {
+    length = length * 2;
+  }
+  return std::min(length, kMaxBlock).Scaled(1 + block_spread_ / 2);
+}
+
 std::vector<const CrashSuspects::Record*> CrashSuspects::RecordsOf(
     uint64_t unit) const {
   std::vector<const Record*> found;
--- a/src/coordination/crash_suspects.h
+++ b/src/coordination/crash_suspects.h
@@ -22,6 +22,12 @@
 //! Not thread-safe.
 class CrashSuspects {
  public:
+  //! `block_spread`, in [0, 1], lengthens blocks by up to a half. Instances
+  //! with different values let requests through again one after the other, so
+  //! that the first ones show whether the unit still crashes endpoints.
+  explicit CrashSuspects(double block_spread = 0)
+      : block_spread_(block_spread) {}
+
   //! A request with these shared parts and this content was open without an
   //! answer when its endpoint crashed at `at`.
   void OnCrash(Millis now,
@@ -104,6 +110,9 @@
   std::vector<const Record*> RecordsOf(uint64_t unit) const;
   std::set<uint64_t> BlockedUnits(Millis now) const;
 
+  Millis BlockLength(int crashes, int max_crashes) const;
+
+  double block_spread_;
   std::vector<Record> records_;        //!< Oldest first.
   std::vector<SuspectCrash> learned_;  //!< Since the last TakeLearned.
   Millis repeated_at_;                 //!< Last report of what blocks a unit.
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -23,6 +23,12 @@
 //! A crashed endpoint refuses connections at once if its machine is alive.
 constexpr Millis kCrashCheckTimeout{300};
 
+//! Returns a number in [0, 1) that differs between incarnations.
+double UniformFraction(uint64_t incarnation) {
+  std::mt19937_64 random(incarnation);
+  return std::uniform_real_distribution<double>(0, 1)(random);
+}
+
 }  // namespace
 
 RelayContext::RelayContext(EventLoop* event_loop,
@@ -38,6 +44,7 @@
       prefix_cache_index(kPrefixIndexCapacity),
       placement(&registry, &prefix_cache_index, options.data_centre),
       shares({options.instance, options.incarnation, options.boot}),
+      crashes(UniformFraction(options.incarnation)),
       pool(event_loop,
            [this](uint64_t endpoint) {
              crashes.OnEndpointDown(loop->Now(), endpoint);
--- a/tests/coordination/crash_suspects_test.cpp
+++ b/tests/coordination/crash_suspects_test.cpp
@@ -85,6 +85,22 @@
   EXPECT_FALSE(suspects_.IsSuspect(kCrashing));
 }
 
+TEST_F(CrashSuspectsTest, BlocksOfInstancesDoNotEndTogether) {
+  int blocked = 0;
+  for (int i = 0; i < 100; ++i) {
+    CrashSuspects instance(i / 100.0);
+    for (uint64_t endpoint = 1; endpoint <= 3; ++endpoint) {
+      instance.OnCrash(now_ + Millis(1000 * static_cast<int64_t>(endpoint)),
+                       now_ + Millis(1000 * static_cast<int64_t>(endpoint)),
+                       endpoint, {kCrashing}, 1000 + endpoint);
+    }
+    EXPECT_TRUE(instance.IsPartBlocked(now_ + Millis(32900), kCrashing));
+    // A second after the first instances let requests through.
+    blocked += instance.IsPartBlocked(now_ + Millis(34000), kCrashing) ? 1 : 0;
+  }
+  EXPECT_GT(blocked, 85);
+}
+
 TEST_F(CrashSuspectsTest, CrashesSeenByDifferentInstancesBlockThePart) {
   CrashSuspects others[3];
   for (uint64_t i = 0; i < 3; ++i) {
