--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -39,6 +39,7 @@
 
   void Start() override {
     const Behaviour& behaviour = endpoint_->behaviour_;
+    endpoint_->arrivals_.push_back(endpoint_->loop_->Now());
     const auto expected = request_.fields.Find("X-Expected-Instance");
     if (expected && *expected != endpoint_->id_) {
       Reply(421, "");  // Misdirected: meant for another endpoint.
@@ -100,6 +101,9 @@
     if (*marker_header != '\0') {
       head.fields.Add(marker_header, absl::StrCat("by-", endpoint_->id_));
     }
+    if (!endpoint_->behaviour_.limit.empty()) {
+      head.fields.Add("Server-Limit", endpoint_->behaviour_.limit);
+    }
     return head;
   }
 
@@ -165,6 +169,19 @@
       .dump();
 }
 
+int StandInEndpoint::MostArrivals(Millis since, Millis span) const {
+  int most = 0;
+  for (auto begin = arrivals_.begin(); begin != arrivals_.end(); ++begin) {
+    if (*begin < since) {
+      continue;
+    }
+    const auto end = std::find_if(
+        begin, arrivals_.end(), [&](Millis it) { return it - *begin > span; });
+    most = std::max(most, static_cast<int>(end - begin));
+  }
+  return most;
+}
+
 int StandInEndpoint::RunCount(const std::string& request_id) const {
   return static_cast<int>(
       std::count_if(started_requests_.begin(), started_requests_.end(),
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -32,6 +32,9 @@
     //! Crashes when it begins a request whose prompt has this part: loses all
     //! connections and accepts none any more. Empty: never.
     std::string crash_on_part;
+    //! Value of the field in all answers that names how many requests a second
+    //! the endpoint takes from all instances together. Empty: no field.
+    std::string limit;
     //! Sends one event of an answer without length or chunks before it crashes.
     bool event_before_crash = false;
   };
@@ -55,6 +58,10 @@
   const std::vector<CallerRequest>& started_requests() const {
     return started_requests_;
   }
+  //! When requests arrived, also those that were refused.
+  const std::vector<Millis>& arrivals() const { return arrivals_; }
+  //! Largest number of requests that arrived within `span` from `since` on.
+  int MostArrivals(Millis since, Millis span) const;
   //! How often the request with this id was run.
   int RunCount(const std::string& request_id) const;
   //! Number of running requests whose connection was closed before the end.
@@ -70,6 +77,7 @@
   std::string address_;
   Behaviour behaviour_;
   std::vector<CallerRequest> started_requests_;
+  std::vector<Millis> arrivals_;
   int abandoned_ = 0;
   std::unique_ptr<RelayServer> server_;
 };
