Read the limits that endpoints name and log them

The code did not read the field, so the log could not tell whether an instance knew of a limit, from whom, or how much of it is its own part.

EndpointLimits keeps what endpoints and peers say; endpoint_limit is logged at each change with the source, the limit and this instance's part of it, limit_unreadable for a value that is no single finite number of 0 or more.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -44,6 +45,10 @@
 //! A missing endpoint is removed after this time; it has no load by then.
 constexpr Millis kMissingRetention{30000};
 
+//! Delay that callers are told if this instance may send nothing to any
+//! endpoint of a service: another instance may.
+constexpr Millis kNoRoomDelay{1000};
+
 //! Limit of removed incarnations that are remembered.
 constexpr size_t kMaxRemoved = 4096;
 
@@ -142,6 +147,7 @@
 void EndpointRegistry::Erase(const std::string& id) {
   const auto it = endpoints_.find(id);
   by_hash_.erase(it->second.incarnation_hash);
+  limits_.Forget(it->second.incarnation_hash);
   endpoints_.erase(it);
 }
 
@@ -160,6 +166,37 @@
   return usable.empty() ? suspended : usable;
 }
 
+EndpointLimits::Change EndpointRegistry::OnReportedLimit(
+    Millis now,
+    const ReportedLimit& reported) {
+  return by_hash_.contains(reported.endpoint) ? limits_.OnReport(now, reported)
+                                              : EndpointLimits::Change::kNone;
+}
+
+EndpointRegistry::Room EndpointRegistry::RoomOf(
+    Millis now,
+    const std::string& service) const {
+  Room room;
+  std::optional<Millis> next;
+  for (const auto& [id, state] : endpoints_) {
+    if (state.entry.service != service ||
+        !MayReceive(now, id, state.entry.start_unix_ms)) {
+      continue;
+    }
+    if (!limits_.IsLimited(state.incarnation_hash)) {
+      return {};
+    }
+    room.all_limited = true;
+    room.per_second += limits_.OwnRate(state.incarnation_hash);
+    const auto own_next = limits_.TimeToNext(now, state.incarnation_hash);
+    if (own_next && (!next || *own_next < *next)) {
+      next = own_next;
+    }
+  }
+  room.next = next.value_or(kNoRoomDelay);
+  return room;
+}
+
 const EndpointState* EndpointRegistry::Find(const std::string& id,
                                             int64_t start_unix_ms) const {
   const auto it = endpoints_.find(id);
@@ -196,6 +233,7 @@
                                         const EndpointState& chosen,
                                         int64_t uncached_tokens,
                                         Millis predicted) {
+  limits_.OnSent(now, chosen.incarnation_hash);
   EndpointTicket ticket;
   ticket.id = chosen.entry.id;
   ticket.start_unix_ms = chosen.entry.start_unix_ms;
@@ -322,6 +360,7 @@
 }
 
 void EndpointRegistry::OnTick(Millis now) {
+  limits_.OnTick(now);
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
     if (state.missing_since > Millis(0) &&
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "coordination/endpoint_limits.h"
 #include "coordination/endpoint_load.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
@@ -55,7 +56,8 @@
                 bool store_in_doubt);
 
   //! Returns the endpoints of a service that may receive requests, ordered by
-  //! id. Suspended ones are omitted unless all are suspended.
+  //! id. Suspended ones are omitted unless all are suspended, and those whose
+  //! limit is used up always.
   std::vector<const EndpointState*> Usable(Millis now,
                                            const std::string& service) const;
 
@@ -92,6 +94,22 @@
   //! for more than 30 s.
   void OnTick(Millis now);
 
+  //! A peer reported the limit of an endpoint, which may be unknown here.
+  EndpointLimits::Change OnReportedLimit(Millis now,
+                                         const ReportedLimit& reported);
+
+  //! Limits that endpoints name.
+  EndpointLimits& limits() { return limits_; }
+  const EndpointLimits& limits() const { return limits_; }
+
+  //! What the limits of a service's endpoints leave to this instance.
+  struct Room {
+    bool all_limited = false;  //!< There are endpoints, and all have limits.
+    double per_second = 0;     //!< Requests that this instance may send.
+    Millis next;               //!< Time until it may send one.
+  };
+  Room RoomOf(Millis now, const std::string& service) const;
+
   size_t size() const { return endpoints_.size(); }
   //! Open requests of this instance at all endpoints.
   int64_t open() const;
@@ -116,6 +134,7 @@
   //! delayed entry cannot restore it.
   std::map<std::string, std::pair<int64_t, int64_t>> removed_;
   std::map<uint64_t, PeerLoad> peers_;
+  EndpointLimits limits_;
 };
 
 //! Returns the smoothed failure rate of an endpoint at `now`. It decays while
--- a/src/protocol/call_dialect.h
+++ b/src/protocol/call_dialect.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "coordination/prompt_shape.h"
 
 namespace tamaracktrail {
@@ -28,6 +29,11 @@
   //! Caller fields that are not forwarded. They include the fields above that
   //! the relay sets itself.
   std::vector<std::string> not_forwarded;
+  //! Parses the limit that an endpoint names in an answer: requests a second
+  //! that it takes from all instances together; nullopt if it names none.
+  //! Error: the field has no usable value.
+  absl::StatusOr<std::optional<double>> (*parse_limit)(
+      const HttpFields& fields) = nullptr;
   //! Parses the prompt description of a request; nullopt if it has none.
   std::optional<PromptShape> (*parse_prompt)(const HttpFields& fields) =
       nullptr;
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_PEER_GOSSIP_H_
 #define TRANSPORT_PEER_GOSSIP_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "absl/status/statusor.h"
 #include "coordination/endpoint_load.h"
+#include "coordination/reported_limit.h"
 #include "coordination/suspect_crash.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
@@ -34,12 +36,20 @@
     //! incarnation.
     std::vector<std::pair<uint64_t, EndpointLoad>> loads;
     std::vector<SuspectCrash> crashes;
+    //! Limits that endpoints named to the sender; see EndpointLimits.
+    std::vector<ReportedLimit> limits;
 
-    //! Whether the reports agree in configuration version, loads and
-    //! crashes; the other fields are not compared.
+    //! Whether the reports agree in configuration version, loads, crashes and
+    //! limits but for their age; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version && loads == other.loads &&
-             crashes == other.crashes;
+             crashes == other.crashes &&
+             std::equal(limits.begin(), limits.end(), other.limits.begin(),
+                        other.limits.end(),
+                        [](const ReportedLimit& a, const ReportedLimit& b) {
+                          return a.endpoint == b.endpoint &&
+                                 a.per_second == b.per_second;
+                        });
     }
 
     friend bool operator==(const Report&, const Report&) = default;
@@ -47,7 +57,7 @@
     template <class Archive>
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms, address,
-              loads, crashes);
+              loads, crashes, limits);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -6,6 +6,7 @@
 
 #include "state/routing_config.h"
 #include "transport/event_loop.h"
+#include "transport/log_line.h"
 #include "transport/relay/connection_probe.h"
 #include "transport/relay/relay_task.h"
 
@@ -20,6 +21,9 @@
 //! instances that have started and that the others do not count yet.
 constexpr double kRetryBudgetFraction = 0.8;
 
+//! Time over which the demand for endpoints with limits is averaged.
+constexpr Millis kDemandTime{3000};
+
 //! A crashed endpoint refuses connections at once if its machine is alive.
 constexpr Millis kCrashCheckTimeout{300};
 
@@ -107,6 +111,38 @@
       });
 }
 
+void RelayContext::LogLimitChange(uint64_t endpoint,
+                                  const std::string& source,
+                                  EndpointLimits::Change change) {
+  if (change == EndpointLimits::Change::kNone) {
+    return;
+  }
+  const EndpointState* state = registry.FindByHash(endpoint);
+  LogLine(log, "endpoint_limit")
+      .Add("endpoint", state == nullptr ? "" : state->entry.id)
+      .Add("source", source)
+      .Add("per_second", registry.limits().LimitOf(endpoint).value_or(-1))
+      .Add("own_per_second", registry.limits().OwnRate(endpoint))
+      .Add("instances", instances);
+}
+
+double RelayContext::UrgentDemand(const std::string& service, int rank) const {
+  const auto it = limited_demand.find(service);
+  double per_second = 0;
+  if (it != limited_demand.end()) {
+    for (const auto& [other, meter] : it->second) {
+      per_second += other < rank ? meter.PerSecond(loop->Now()) : 0;
+    }
+  }
+  return per_second;
+}
+
+void RelayContext::CountLimitedDemand(const std::string& service, int rank) {
+  limited_demand[service]
+      .emplace(rank, RateMeter(kDemandTime))
+      .first->second.Add(loop->Now(), 1);
+}
+
 double RelayContext::RandomFraction() {
   return std::uniform_real_distribution<double>(0, 1)(random);
 }
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -15,6 +15,7 @@
 #include "coordination/link_congestion.h"
 #include "coordination/placement.h"
 #include "coordination/prefix_cache_index.h"
+#include "coordination/rate_meter.h"
 #include "coordination/retry_budget.h"
 #include "coordination/share_outage.h"
 #include "protocol/call_dialect.h"
@@ -72,6 +73,17 @@
   //! to learn at once whether it has crashed.
   void CheckForCrash(uint64_t endpoint, const std::string& address);
 
+  //! Logs that the limit of an endpoint is known, changed or ended. `source`:
+  //! who said so.
+  void LogLimitChange(uint64_t endpoint,
+                      const std::string& source,
+                      EndpointLimits::Change change);
+
+  //! Requests a second, over the last seconds, for a service whose endpoints
+  //! all have limits and that are more urgent than `rank`.
+  double UrgentDemand(const std::string& service, int rank) const;
+  void CountLimitedDemand(const std::string& service, int rank);
+
   //! Random number, uniform in [0, 1).
   double RandomFraction();
 
@@ -89,6 +101,8 @@
   LinkCongestion congestion;
   CrashGuard crashes;
   ConnectionPool pool;
+  //! By service and rank; see UrgentDemand.
+  std::map<std::string, std::map<int, RateMeter>> limited_demand;
   //! See CheckForCrash; by endpoint.
   std::map<uint64_t, std::unique_ptr<ConnectionProbe>> crash_checks;
   std::mt19937_64 random;
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -93,6 +93,8 @@
   void OnAnswerDone() override;
   void OnCallFailed(const absl::Status& status, bool sent) override;
   AttemptOutcome Classify(const HttpReader& answer) const;
+  //! Takes note of what the endpoint says of itself in the head of an answer.
+  void ReadLimit(const HttpReader& answer);
   bool IsStreamAnswer() const;
   //! The present attempt's answer has its proper end.
   void FinishAnswer();
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -71,6 +71,9 @@
     return false;
   }
   answer_outcome_ = Classify(answer);
+  if (id && answer_outcome_ != AttemptOutcome::kMisdirected) {
+    ReadLimit(answer);
+  }
   if (ticket_) {
     context_->registry.OnFirstByte(context_->loop->Now(), &*ticket_);
   }
@@ -101,6 +104,31 @@
   return true;
 }
 
+void RelayTask::ReadLimit(const HttpReader& answer) {
+  const CallDialect& dialect = context_->dialect;
+  if (!ticket_ || dialect.parse_limit == nullptr) {
+    return;
+  }
+  const auto limit = dialect.parse_limit(answer.fields());
+  if (!limit.ok()) {
+    context_->metrics->Count("endpoint_limits_unreadable_total");
+    LogLine(context_->log, "limit_unreadable")
+        .Add("endpoint", ticket_->id)
+        .AddQuoted("reason", std::string(limit.status().message()));
+    return;
+  }
+  // Only an answer that is surely the endpoint's shows that it names no limit.
+  const bool is_own = answer.fields().Count(dialect.signature) == 1 ||
+                      answer.fields().Count(dialect.not_run) > 0;
+  if (limit->has_value() || is_own) {
+    context_->LogLimitChange(
+        ticket_->incarnation_hash, "answer",
+        context_->registry.limits().OnAnswer(context_->loop->Now(),
+                                             ticket_->incarnation_hash,
+                                             ticket_->sent_at, *limit));
+  }
+}
+
 bool RelayTask::IsStreamAnswer() const {
   return route_->kind == CallKind::kStream &&
          answer_outcome_ == AttemptOutcome::kAnswered;
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -237,6 +237,7 @@
   report.instance = "a";
   report.loads = {{1, {100, 2}}};
   report.crashes = {{5, {6, 7}, 3, 20}};
+  report.limits = {{1, 1.5, 20}};
   a.SetPeers({address_b});
   a.Send(report);
   loop.After(Millis(2000), [&] { loop.Quit(); });
