Resume a stream only with events

Callers: a stream had begun and broke off; the next endpoint answered with an error, and the caller found the error's text among its events, or the stream ended as if it were complete.

Cause: once the head is sent to the caller, the head of the next answer was not looked at but for its signature: each signed status below 500 was taken for the rest of the stream, whatever its type.

Change: an answer to a resumed attempt that is no success or no event stream counts as a failure of the endpoint; its body is dropped.

--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -79,7 +79,17 @@
   }
   context_->loop->Cancel(&first_byte_timer_);
   answer_framing_ = answer.framing();
+  const auto type = answer.fields().Find("Content-Type");
+  const bool is_success = answer.status() / 100 == 2;
+  // A success on a stream route is a stream unless it says otherwise.
+  const bool is_event_stream =
+      type ? type->find("event-stream") != std::string_view::npos : is_success;
   if (head_sent_) {
+    if (answer_outcome_ == AttemptOutcome::kAnswered &&
+        !(is_success && is_event_stream)) {
+      // The caller's stream can only go on with events.
+      answer_outcome_ = AttemptOutcome::kFailed;
+    }
     return true;
   }
   answer_head_ = {};
@@ -96,11 +106,7 @@
       answer_head_.fields.Add(it.name, it.value);
     }
   }
-  const auto type = answer.fields().Find("Content-Type");
-  // A success on a stream route is a stream unless it says otherwise.
-  not_event_stream_ = type
-                          ? type->find("event-stream") == std::string_view::npos
-                          : answer.status() / 100 != 2;
+  not_event_stream_ = !is_event_stream;
   return true;
 }
 
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -289,6 +289,47 @@
            kEvent1}};
 }
 
+//! Streams that broke off after an event, and whose second attempt is answered
+//! with something else than the rest. The text looks like events.
+std::vector<EndCase> NotTheRestCases() {
+  const std::string whole = absl::StrCat(kEvent1, kEvent2);
+  const std::string text = "id: 2\ndata: Not Found\n\n";
+  std::vector<EndCase> cases;
+  for (const char* status : {"200", "204", "206", "301", "304", "400", "404",
+                             "410", "421", "429", "500", "503"}) {
+    for (const bool is_signed : {true, false}) {
+      for (const bool is_stream : {true, false}) {
+        if (*status == '2' && is_signed && is_stream) {
+          continue;  // It is the rest.
+        }
+        for (const auto& [framing, framing_name] : kFramings) {
+          if (framing == Framing::kNoneWithClose ||
+              framing == Framing::kHttp10) {
+            continue;
+          }
+          std::string answer = absl::StrReplaceAll(
+              MakeAnswer(framing, text, text,
+                         is_stream ? "text/event-stream" : "text/html"),
+              {{" 200 OK", absl::StrCat(" ", status, " Answer")}});
+          if (!is_signed) {
+            answer = absl::StrReplaceAll(answer,
+                                         {{"X-Server-Signature: s\r\n", ""}});
+          }
+          cases.push_back(
+              {absl::StrCat(framing_name, status, is_signed ? "Signed" : "",
+                            is_stream ? "Stream" : "Text"),
+               "ask",
+               {{MakeAnswer(Framing::kChunks, kEvent1, whole), End::kClose},
+                {answer, End::kClose}},
+               Seen::kBrokenOff,
+               kEvent1});
+        }
+      }
+    }
+  }
+  return cases;
+}
+
 class AnswerEndTest : public FrontTest {
  protected:
   //! Sends a request on `route` to endpoints that answer from one script.
@@ -411,6 +452,10 @@
                          AnswerEndCaseTest,
                          testing::ValuesIn(NotResumedCases()),
                          CaseName);
+INSTANTIATE_TEST_SUITE_P(NotTheRest,
+                         AnswerEndCaseTest,
+                         testing::ValuesIn(NotTheRestCases()),
+                         CaseName);
 INSTANTIATE_TEST_SUITE_P(Resumed,
                          AnswerEndCaseTest,
                          testing::ValuesIn(ResumedCases()),
