Refuse endpoint entries with numbers out of range or deep nesting

Another writer may leave one odd entry among those of the endpoints.

Callers: such an entry could shut an endpoint out: an entry with the highest sequence was never replaced by the endpoint's own next one. Slots out of the range of int are undefined behaviour, and differ between arm64 and x86-64.

Evidence: seven of the new cases of EndpointDecoderTest were accepted before (slots, slow time, sequence and start above their range, the highest sequence, a negative one, an IPv6 address that cannot be connected to), and the nested record was. None ended the process.

--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "absl/strings/str_cat.h"
 #include "platform/config_decoder.h"
 #include "platform/endpoint_decoder.h"
 #include "platform/store_record.h"
@@ -79,6 +80,27 @@
 
 class EndpointDecoderTest : public testing::TestWithParam<EntryCase> {};
 
+//! Largest record of the store.
+constexpr size_t kRecordBytes = 262144;
+
+TEST(DeeplyNestedRecordTest, IsRefusedByEachDecoder) {
+  for (const char* it : {"[", "{\"a\":"}) {
+    std::string nested;
+    while (nested.size() < kRecordBytes) {
+      nested += it;
+    }
+    const std::string inside = absl::StrCat(
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":64,
+            "state":"ready","sequence":4,"born":9,"x":)",
+        std::string(kRecordBytes / 2, '['), std::string(kRecordBytes / 2, ']'),
+        "}");
+    EXPECT_FALSE(DecodeEndpoint("i", nested).ok());
+    EXPECT_FALSE(DecodeEndpoint("i", inside).ok());
+    EXPECT_FALSE(DecodeConfig(nested).ok());
+    EXPECT_FALSE(DecodePage(nested).ok());
+  }
+}
+
 TEST_P(EndpointDecoderTest, AcceptsOnlyValidEntries) {
   EXPECT_EQ(DecodeEndpoint("i", GetParam().text).ok(), GetParam().ok);
 }
@@ -103,6 +125,63 @@
                   R"({"service":"s","zone":"z","slots":64,"state":"ready",
                       "sequence":4,"born":9})",
                   false},
+        EntryCase{"slots_out_of_range",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":1e300,"state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"negative_slots",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":-1e300,"state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"slots_no_number",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":[64],"state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"cold_time_out_of_range",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9,
+                      "cold_remaining_ms":1e300})",
+                  false},
+        EntryCase{"sequence_above_signed_range",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready",
+                      "sequence":18446744073709551615,"born":9})",
+                  false},
+        EntryCase{"highest_sequence",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready",
+                      "sequence":9223372036854775807,"born":9})",
+                  false},
+        EntryCase{"negative_sequence",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":-1,"born":9})",
+                  false},
+        EntryCase{"start_above_signed_range",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,
+                      "born":18446744073709551615})",
+                  false},
+        EntryCase{"number_above_all_ranges",
+                  R"({"service":"s","address":"10.0.0.1:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":1e999,"born":9})",
+                  false},
+        EntryCase{"port_out_of_range",
+                  R"({"service":"s","address":"10.0.0.1:65536","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"port_far_out_of_range",
+                  R"({"service":"s","address":"10.0.0.1:4294967376",
+                      "zone":"z","slots":64,"state":"ready","sequence":4,
+                      "born":9})",
+                  false},
+        EntryCase{"negative_port",
+                  R"({"service":"s","address":"10.0.0.1:-80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9})",
+                  false},
+        EntryCase{"other_address_family",
+                  R"({"service":"s","address":"[::1]:80","zone":"z",
+                      "slots":64,"state":"ready","sequence":4,"born":9})",
+                  false},
         EntryCase{"bad_address",
                   R"({"service":"s","address":"nowhere","zone":"z","slots":64,
                       "state":"ready","sequence":4,"born":9})",
