--- a/tests/platform/endpoint_limit_test.cpp
+++ b/tests/platform/endpoint_limit_test.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -90,6 +91,7 @@
   std::vector<std::unique_ptr<InstanceProcess>> instances_;
   std::vector<std::unique_ptr<Caller>> callers_;
   std::function<void()> on_begin_ = [] {};
+  std::vector<std::string> routes_ = {"safe"};  //!< In turn.
   Millis began_at_;
   Millis ended_at_;
   Millis interval_;
@@ -103,7 +105,8 @@
     const size_t n = callers_.size();
     callers_.push_back(std::make_unique<Caller>(
         &loop_, instances_[n % instances_.size()]->callers_address(),
-        SampleRequest("safe", absl::StrCat("id-", n))));
+        SampleRequest(routes_[n / instances_.size() % routes_.size()],
+                      absl::StrCat("id-", n))));
     loop_.After(interval_, [this, end] { SendNext(end); });
   }
 };
@@ -141,6 +144,26 @@
   EXPECT_GT(refused, 500);
 }
 
+TEST_F(EndpointLimitTest, UrgentRequestsGetTheRoomThatLimitsLeave) {
+  on_begin_ = [this] {
+    for (auto& it : endpoints_) {
+      it->behaviour().limit = "3";
+    }
+  };
+  // Every other request belongs to a less urgent route.
+  routes_ = {"safe", "later"};
+  RunLoad(/*instances=*/2, /*endpoints=*/3, /*per_second=*/50, Millis(11000));
+  std::map<std::string, int> served;
+  for (size_t i = 0; i < callers_.size(); ++i) {
+    // By then the instances know the demand.
+    if (callers_[i]->status() == 200 && i > callers_.size() / 3) {
+      ++served[routes_[i / 2 % 2]];
+    }
+  }
+  EXPECT_GT(served["safe"], 20);
+  EXPECT_LE(served["later"], 2);
+}
+
 TEST_F(EndpointLimitTest, EndpointGetsItsLoadBackOnceItNamesNoLimit) {
   on_begin_ = [this] {
     endpoints_[0]->behaviour().limit = "0.2";
--- a/tests/support/sample_config.cpp
+++ b/tests/support/sample_config.cpp
@@ -35,9 +35,11 @@
   json version_route =
       RouteEntry(absl::StrCat("version-", version), "safe", 2, false);
   version_route["public"] = true;
+  json later = RouteEntry("later", "safe", 2, false);
+  later["priority"] = 2;
   return json{{"version", version},
               {"routes",
-               {RouteEntry("safe", "safe", 2, false),
+               {RouteEntry("safe", "safe", 2, false), later,
                 RouteEntry("fee", "unsafe", 2, false),
                 RouteEntry("report", "streaming", 2, false),
                 RouteEntry("ask", "streaming", 2, true), version_route}},
