Count crashes of a content that happen together as one

Callers: a request that many repeat to the letter, such as a lookup without a body, is open at several endpoints at any moment. Two of them lost together, with a rack or a link, blocked it for 30 s.

Cause: a content's crashes were counted by endpoint, without regard to time; a part's crashes within 600 ms count as one.

Evidence: ContentOpenAtEndpointsThatAreLostTogetherIsNotBlocked is blocked on the former code by the second endpoint.

Change: one count for both. The test that reports a crash twice now reports the second endpoint a second later; what it checks is the same.

--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-//! Crashes within this time count as one for a prompt part. A cut link breaks
-//! the connections to many endpoints at once and implicates a part that all
-//! requests share on each of them.
+//! Crashes within this time count as one. A cut link breaks the connections to
+//! many endpoints at once and implicates what many requests share on each of
+//! them.
 constexpr Millis kTogether{600};
 
 //! Crashes without an answer in between after which a part is blocked.
@@ -57,15 +57,6 @@
   return n;
 }
 
-template <class Records>
-int CountEndpoints(const Records& records) {
-  std::set<uint64_t> endpoints;
-  for (const auto* it : records) {
-    endpoints.insert(it->crash.endpoint);
-  }
-  return static_cast<int>(endpoints.size());
-}
-
 //! Calls `handle` for each implicated unit from index `from` on.
 template <class Handle>
 void ForEachImplicated(const SuspectCrash& crash, size_t from, Handle handle) {
@@ -312,7 +303,7 @@
 
 bool CrashSuspects::IsContentBlocked(Millis now, uint64_t content) const {
   const std::vector<const Record*> records = RecordsOf(content);
-  const int n = CountEndpoints(records);
+  const int n = CountSeparate(records);
   return n >= kMaxContentCrashes &&
          now - records.back()->at < BlockLength(n, kMaxContentCrashes);
 }
--- a/tests/coordination/crash_suspects_test.cpp
+++ b/tests/coordination/crash_suspects_test.cpp
@@ -154,6 +154,15 @@
   EXPECT_FALSE(suspects_.IsPartBlocked(now_, kBefore));
 }
 
+TEST_F(CrashSuspectsTest,
+       ContentOpenAtEndpointsThatAreLostTogetherIsNotBlocked) {
+  for (uint64_t endpoint = 1; endpoint <= 20; ++endpoint) {
+    suspects_.OnCrash(now_, now_ + Millis(static_cast<int64_t>(endpoint)),
+                      endpoint, {}, kContent);
+  }
+  EXPECT_FALSE(suspects_.IsContentBlocked(now_ + Millis(100), kContent));
+}
+
 TEST_F(CrashSuspectsTest, AnsweredContentIsNotBlockedByCrashesBesideIt) {
   for (uint64_t endpoint = 1; endpoint <= 20; ++endpoint) {
     suspects_.OnCrash(now_, now_, endpoint, {}, kContent);
@@ -164,6 +173,7 @@
 
 TEST_F(CrashSuspectsTest, ContentThatCrashesAgainIsReportedBeforeNewerCrashes) {
   suspects_.OnCrash(now_, now_, 1, {}, kContent);
+  now_ = now_ + Millis(1000);
   suspects_.OnCrash(now_, now_, 2, {}, kContent);
   for (uint64_t i = 0; i < 100; ++i) {
     suspects_.OnCrash(now_, now_, 3, {}, 5000 + i);
