Let the process soak name limits and crash endpoints by one prompt part

Endpoints name limits of 0.2, 1.1 and 5 requests a second for 6 to 9 s, and one call in 60 has a part that crashes each endpoint that begins it; crashed endpoints are replaced. Checked while it runs: no endpoint gets more than its limit allows from instances that it told and that were not killed or paused, and no more than three requests with the part reach endpoints 3 s after the third crash, from undisturbed instances.

--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -13,6 +13,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 #include "platform/wire_names.h"
 #include "soak/instance_process.h"
 #include "support/caller.h"
@@ -50,6 +51,20 @@
 constexpr int64_t kInitialPrepaidTokens = 150 * kSampleStreamTokens;
 constexpr int64_t kTopUpTokens = 60 * kSampleStreamTokens;
 
+//! Allowed excess of a limit: an endpoint may get one and a half times what it
+//! named, and five more, in each kLimitSpan from kLimitGrace on.
+constexpr Millis kLimitSpan{4000};
+constexpr Millis kLimitGrace{3000};
+constexpr Millis kToldGrace{500};
+
+//! Crashes by one part after which instances have kLimitGrace to refuse it.
+constexpr int kMaxCrashes = 3;
+//! Requests with it that may still reach endpoints after that.
+constexpr int kMaxLateCrashes = 3;
+constexpr char kCrashingPart[] = "dead";
+//! Time from a crash to the removal of the endpoint and its replacement.
+constexpr Millis kReplaceTime{1200};
+
 struct Call {
   std::string id;
   std::string route;
@@ -101,8 +116,9 @@
  private:
   struct Instance {
     std::unique_ptr<InstanceProcess> process;
-    Millis disturbed_at;  //!< Last start or end of a fault.
-    bool paused = false;  //!< By SIGSTOP.
+    Millis disturbed_at;          //!< Last start or end of a fault.
+    Millis process_disturbed_at;  //!< As disturbed_at, of the process only.
+    bool paused = false;          //!< By SIGSTOP.
     bool stopping = false;
     Millis stop_requested_at;
     //! A fault disturbed the instance within kUndisturbedTime before the stop
@@ -121,6 +137,11 @@
     int64_t sequence = 1;
     Millis draining_since;  //!< 0 if it never drained.
     size_t checked_requests = 0;
+    size_t checked_arrivals = 0;
+    Millis limit_named_at;                      //!< 0 while it names none.
+    double limit = 0;                           //!< Requests a second.
+    std::map<const Instance*, Millis> told_at;  //!< Of the limit.
+    std::deque<Millis> counted_arrivals;        //!< Within kLimitSpan.
   };
   struct Fault {
     const char* name;
@@ -159,15 +180,46 @@
         &loop_, absl::StrCat(service, "-", endpoints_.size()));
     it.stand_in->behaviour() = DefaultBehaviour();
     it.link = std::make_unique<FaultProxy>(&loop_, it.stand_in->address());
+    it.stand_in->SetOnCrash([this, crashed = &it] {
+      crashed->link->SetMode(FaultProxy::Mode::kRefuse);
+      ++report_.faults["crash"];
+      loop_.After(kReplaceTime, [this, crashed] {
+        store_.Put(platform::kEndpointTopic, crashed->stand_in->id(), "");
+        AddEndpoint(crashed->service);
+      });
+    });
     PublishEndpoint(&it);
   }
 
+  void NameLimit() {
+    Endpoint& it = endpoints_[RandomBelow(static_cast<int>(endpoints_.size()))];
+    constexpr double kLimits[] = {0.2, 1.1, 5};
+    it.limit = kLimits[RandomBelow(std::size(kLimits))];
+    it.limit_named_at = loop_.Now();
+    it.told_at.clear();
+    it.counted_arrivals.clear();
+    it.stand_in->behaviour().limit = absl::StrCat(it.limit);
+    loop_.After(RandomTime(6000, 9000), [&it] { EndLimit(&it); });
+  }
+  static void EndLimit(Endpoint* it) {
+    it->limit_named_at = {};
+    it->stand_in->behaviour().limit.clear();
+  }
+
   static StandInEndpoint::Behaviour DefaultBehaviour() {
     StandInEndpoint::Behaviour behaviour;
     behaviour.event_interval = kEventInterval;
+    behaviour.crash_on_part = kCrashingPart;
     return behaviour;
   }
 
+  //! Ends other misbehaviour than a limit.
+  static void RestoreBehaviour(Endpoint* it) {
+    const std::string limit = it->stand_in->behaviour().limit;
+    it->stand_in->behaviour() = DefaultBehaviour();
+    it->stand_in->behaviour().limit = limit;
+  }
+
   void PublishEndpoint(Endpoint* it) {
     store_.Put(platform::kEndpointTopic, it->stand_in->id(),
                it->stand_in->DirectoryEntry(it->service, ++it->sequence,
@@ -181,6 +233,10 @@
     it->disturbed_at = loop_.Now();
     it->stop_disturbed = true;
   }
+  void MarkProcessDisturbed(Instance* it) {
+    MarkDisturbed(it);
+    it->process_disturbed_at = loop_.Now();
+  }
   void MarkAllDisturbed() {
     for (Instance& it : instances_) {
       MarkDisturbed(&it);
@@ -222,6 +278,7 @@
         {"endpoint_drains", [&] { DrainRandomEndpoint(); }},
         {"endpoint_misbehaves", [&] { MakeRandomEndpointMisbehave(); }},
         {"endpoint_link", [&] { DisturbRandomEndpointLink(); }},
+        {"endpoint_limit", [&] { NameLimit(); }},
     };
     const Fault& fault = faults[RandomBelow(std::size(faults))];
     ++report_.faults[fault.name];
@@ -239,21 +296,21 @@
   }
 
   void Kill(Instance* it) {
-    MarkDisturbed(it);
+    MarkProcessDisturbed(it);
     it->killed = true;
     it->paused = false;
     SendSignal(it, SIGKILL);
   }
 
   void Pause(Instance* it) {
-    MarkDisturbed(it);
+    MarkProcessDisturbed(it);
     it->paused = true;
     SendSignal(it, SIGSTOP);
     loop_.After(RandomTime(100, 2500), [this, it] { Resume(it); });
   }
   void Resume(Instance* it) {
     if (it->paused) {
-      MarkDisturbed(it);
+      MarkProcessDisturbed(it);
       it->paused = false;
       SendSignal(it, SIGCONT);
     }
@@ -362,7 +419,7 @@
   void DrainRandomEndpoint() {
     Endpoint* it =
         &endpoints_[RandomBelow(static_cast<int>(endpoints_.size()))];
-    if (it->draining_since == Millis(0)) {
+    if (it->draining_since == Millis(0) && !it->stand_in->crashed()) {
       DrainEndpoint(it);
     }
   }
@@ -399,7 +456,7 @@
     }
     loop_.After(RandomTime(100, 1500), [this, &it] {
       endpoints_disturbed_at_ = loop_.Now();
-      it.stand_in->behaviour() = DefaultBehaviour();
+      RestoreBehaviour(&it);
     });
   }
 
@@ -411,6 +468,7 @@
     }
     store_.faults() = {};
     for (Endpoint& it : endpoints_) {
+      EndLimit(&it);
       it.stand_in->behaviour() = DefaultBehaviour();
       it.link->SetMode(FaultProxy::Mode::kPass);
     }
@@ -420,7 +478,8 @@
     loop_.After(kPlannedChangesDelay, [this] {
       for (const char* service : {"llm", "app"}) {
         for (Endpoint& it : endpoints_) {
-          if (it.service == service && it.draining_since == Millis(0)) {
+          if (it.service == service && it.draining_since == Millis(0) &&
+              !it.stand_in->crashed()) {
             DrainEndpoint(&it);
             break;
           }
@@ -443,10 +502,18 @@
     Instance& it = instances_[call.instance];
     call.id = absl::StrCat(it.process->name(), ".", ++report_.requests);
     call.sent = loop_.Now();
+    std::string request = SampleRequest(call.route, call.id);
+    if (!faults_ended_ && RandomBelowForCalls(60) == 0) {
+      // No two of these have the same content.
+      call.route = "ask";
+      request = absl::StrReplaceAll(
+          SampleRequest(call.route, call.id),
+          {{"bb:300", absl::StrCat(kCrashingPart, ":300")},
+           {"/ask/x", absl::StrCat("/ask/", report_.requests)}});
+    }
     if (call.route == "fee" || call.route == "report") {
       non_repeatable_ids_.insert(call.id);
     }
-    const std::string request = SampleRequest(call.route, call.id);
     const auto reusable_caller = std::find_if(
         reusable_callers_.begin(), reusable_callers_.end(),
         [&](const auto& each) {
@@ -477,12 +544,13 @@
       } else if (loop_.Now() >= it.restart_at || faults_ended_) {
         it.restart_at = {};
         it.stopping = false;
-        MarkDisturbed(&it);
+        MarkProcessDisturbed(&it);
         it.process->Start();
       }
     }
     for (Endpoint& it : endpoints_) {
       CheckNewRuns(&it);
+      CheckNewArrivals(&it);
     }
     std::vector<Call> open;
     for (Call& it : calls_) {
@@ -555,6 +623,58 @@
     }
   }
 
+  void CheckNewArrivals(Endpoint* it) {
+    const auto& arrivals = it->stand_in->arrivals();
+    for (; it->checked_arrivals < arrivals.size(); ++it->checked_arrivals) {
+      const StandInEndpoint::Arrival& arrival = arrivals[it->checked_arrivals];
+      const Instance* from = InstanceOfRequest(arrival.request_id);
+      if (from == nullptr) {
+        continue;
+      }
+      if (arrival.crashes) {
+        CheckCrash(*from, arrival);
+      }
+      if (it->limit_named_at > Millis(0) && arrival.at >= it->limit_named_at) {
+        CheckLimit(it, *from, arrival.at);
+      }
+    }
+  }
+
+  void CheckCrash(const Instance& from,
+                  const StandInEndpoint::Arrival& arrival) {
+    if (++crashes_ <= kMaxCrashes) {
+      third_crash_at_ = arrival.at;
+    } else if (arrival.at - third_crash_at_ > kLimitGrace &&
+               BoundsApply(from) && ++late_crashes_ > kMaxLateCrashes) {
+      AddViolation(absl::StrCat(arrival.request_id, " crashed an endpoint ",
+                                (arrival.at - third_crash_at_).count(),
+                                " ms after the third crash"));
+    }
+  }
+
+  //! Counts requests of instances that the endpoint has told its limit.
+  void CheckLimit(Endpoint* it, const Instance& from, Millis at) {
+    Millis& told_at = it->told_at[&from];
+    if (told_at <= from.process_disturbed_at) {
+      told_at = at;
+    }
+    if (at - told_at < kToldGrace || at - it->limit_named_at < kLimitGrace ||
+        from.paused || at - from.process_disturbed_at < kUndisturbedTime) {
+      return;
+    }
+    std::deque<Millis>& counted = it->counted_arrivals;
+    counted.push_back(at);
+    while (at - counted.front() > kLimitSpan) {
+      counted.pop_front();
+    }
+    const double span_s = static_cast<double>(kLimitSpan.count()) / 1000;
+    if (static_cast<double>(counted.size()) > 1.5 * it->limit * span_s + 5) {
+      AddViolation(absl::StrCat(it->stand_in->id(), " named a limit of ",
+                                it->limit, " and got ", counted.size(),
+                                " requests in 4 s"));
+    }
+  }
+
   const Instance* InstanceOfRequest(const std::string& id) const {
     for (const Instance& it : instances_) {
       if (id.rfind(it.process->name() + ".", 0) == 0) {
@@ -715,6 +835,9 @@
   int64_t prepaid_tokens_ = kInitialPrepaidTokens;
   int64_t delivered_tokens_ = 0;
   Millis endpoints_disturbed_at_;
+  int crashes_ = 0;  //!< By the crashing part.
+  int late_crashes_ = 0;
+  Millis third_crash_at_;
   bool faults_ended_ = false;
   bool finished_ = false;
   ProcessRunReport report_;
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -134,17 +134,30 @@
 }
 
 FaultProxy::~FaultProxy() {
-  loop_->Unwatch(fd_);
-  close(fd_);
+  StopListening();
   for (const auto& it : pairs_) {
     it->Reset();
   }
 }
 
+void FaultProxy::StopListening() {
+  if (fd_ >= 0) {
+    loop_->Unwatch(fd_);
+    close(fd_);
+    fd_ = -1;
+  }
+}
+
 void FaultProxy::SetMode(Mode mode) {
+  if (mode_ == Mode::kRefuse) {
+    return;
+  }
   mode_ = mode;
+  if (mode == Mode::kRefuse) {
+    StopListening();
+  }
   for (const auto& it : pairs_) {
-    if (mode == Mode::kReset) {
+    if (mode == Mode::kReset || mode == Mode::kRefuse) {
       it->Reset();
     } else {
       it->ApplyMode();
--- a/tests/support/fault_proxy.h
+++ b/tests/support/fault_proxy.h
@@ -24,7 +24,8 @@
     //! Connections that are open or opened in this mode never forward a byte
     //! again, even after the mode has changed.
     kBlackhole,
-    kReset,  //!< Open and new connections are reset.
+    kReset,   //!< Open and new connections are reset.
+    kRefuse,  //!< As kReset, and new ones are refused. Final.
   };
 
   //! Precondition: `loop` outlives the proxy.
@@ -42,6 +43,7 @@
   class ConnectionPair;
 
   void OnReady(uint32_t events) override;
+  void StopListening();
 
   EventLoop* loop_;
   std::string server_;
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -39,7 +39,9 @@
 
   void Start() override {
     const Behaviour& behaviour = endpoint_->behaviour_;
-    endpoint_->arrivals_.push_back(endpoint_->loop_->Now());
+    endpoint_->arrivals_.push_back(
+        {endpoint_->loop_->Now(),
+         std::string(request_.fields.Find("X-Request-Id").value_or(""))});
     const auto expected = request_.fields.Find("X-Expected-Instance");
     if (expected && *expected != endpoint_->id_) {
       Reply(421, "");  // Misdirected: meant for another endpoint.
@@ -61,8 +63,13 @@
         connection_->BeginAnswer(head);
         connection_->WriteBody("id: 1\ndata: x\n\n");
       }
-      endpoint_->loop_->After(kCrashDelay,
-                              [it = endpoint_] { it->server_.reset(); });
+      endpoint_->arrivals_.back().crashes = true;
+      endpoint_->loop_->After(kCrashDelay, [it = endpoint_] {
+        if (!it->crashed()) {
+          it->server_.reset();
+          it->on_crash_();
+        }
+      });
       return;
     }
     if (behaviour.unresponsive) {
@@ -172,11 +179,12 @@
 int StandInEndpoint::MostArrivals(Millis since, Millis span) const {
   int most = 0;
   for (auto begin = arrivals_.begin(); begin != arrivals_.end(); ++begin) {
-    if (*begin < since) {
+    if (begin->at < since) {
       continue;
     }
     const auto end = std::find_if(
-        begin, arrivals_.end(), [&](Millis it) { return it - *begin > span; });
+        begin, arrivals_.end(),
+        [&](const Arrival& it) { return it.at - begin->at > span; });
     most = std::max(most, static_cast<int>(end - begin));
   }
   return most;
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -2,9 +2,11 @@
 #define TESTS_SUPPORT_STAND_IN_ENDPOINT_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "state/millis.h"
@@ -58,8 +60,18 @@
   const std::vector<CallerRequest>& started_requests() const {
     return started_requests_;
   }
-  //! When requests arrived, also those that were refused.
-  const std::vector<Millis>& arrivals() const { return arrivals_; }
+  //! Called when the endpoint crashes.
+  void SetOnCrash(std::function<void()> on_crash) {
+    on_crash_ = std::move(on_crash);
+  }
+
+  struct Arrival {
+    Millis at;
+    std::string request_id;
+    bool crashes = false;  //!< It crashed the endpoint.
+  };
+  //! All requests in order, also those that were refused.
+  const std::vector<Arrival>& arrivals() const { return arrivals_; }
   //! Largest number of requests that arrived within `span` from `since` on.
   int MostArrivals(Millis since, Millis span) const;
   //! How often the request with this id was run.
@@ -77,7 +89,8 @@
   std::string address_;
   Behaviour behaviour_;
   std::vector<CallerRequest> started_requests_;
-  std::vector<Millis> arrivals_;
+  std::vector<Arrival> arrivals_;
+  std::function<void()> on_crash_ = [] {};
   int abandoned_ = 0;
   std::unique_ptr<RelayServer> server_;
 };
