--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -94,6 +94,8 @@
   void OnAnswerBody(std::string* body) override;
   void OnAnswerDone() override;
   void OnCallFailed(const absl::Status& status, bool sent) override;
+  //! Whether the answer belongs to another request. Logs one that does.
+  bool IsForeign(const HttpReader& answer) const;
   AttemptOutcome Classify(const HttpReader& answer) const;
   //! Takes note of what the endpoint says of itself in the head of an answer.
   void ReadLimit(const HttpReader& answer);
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -61,7 +61,7 @@
   return AttemptOutcome::kAnswered;
 }
 
-bool RelayTask::OnAnswerHead(const HttpReader& answer) {
+bool RelayTask::IsForeign(const HttpReader& answer) const {
   const std::string& id_field = context_->dialect.request_id;
   const auto id = answer.fields().Find(id_field);
   // Without an id, an answer on a connection that was used before may belong to
@@ -75,10 +75,16 @@
         .Add("endpoint", ticket_ ? ticket_->id : "")
         .Add("status", answer.status())
         .Add("belongs_to", id ? AsAbsl(*id) : "");
+  }
+  return is_foreign;
+}
+
+bool RelayTask::OnAnswerHead(const HttpReader& answer) {
+  if (IsForeign(answer)) {
     return false;
   }
   answer_outcome_ = Classify(answer);
-  if (id && answer_outcome_ != AttemptOutcome::kMisdirected) {
+  if (answer_outcome_ != AttemptOutcome::kMisdirected) {
     ReadLimit(answer);
   }
   if (ticket_) {
@@ -119,7 +125,8 @@
 
 void RelayTask::ReadLimit(const HttpReader& answer) {
   const CallDialect& dialect = context_->dialect;
-  if (!ticket_ || dialect.parse_limit == nullptr) {
+  if (!ticket_ || dialect.parse_limit == nullptr ||
+      answer.fields().Count(dialect.request_id) == 0) {
     return;
   }
   const auto limit = dialect.parse_limit(answer.fields());
--- a/tests/platform/crash_report_test.cpp
+++ b/tests/platform/crash_report_test.cpp
@@ -29,7 +29,6 @@
                              {{"aa:600,bb:300", parts}, {"body", id}});
 }
 
-constexpr char kSoundParts[] = "aa:600,bb:30";
 constexpr char kCrashingParts[] = "aa:600,dead:300";
 
 StandInEndpoint::Behaviour CrashingBehaviour() {
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -56,20 +56,7 @@
     const auto parts = request_.fields.Find("X-Prompt-Prefix");
     if (!behaviour.crash_on_part.empty() && parts &&
         absl::StrContains(AsAbsl(*parts), behaviour.crash_on_part)) {
-      if (behaviour.event_before_crash) {
-        AnswerHead head = Head(200, "X-Server-Signature");
-        head.fields.Add("Content-Type", "text/event-stream");
-        head.framing = BodyFraming::kConnectionEnd;
-        connection_->BeginAnswer(head);
-        connection_->WriteBody("id: 1\ndata: x\n\n");
-      }
-      endpoint_->arrivals_.back().crashes = true;
-      endpoint_->loop_->After(kCrashDelay, [it = endpoint_] {
-        if (!it->crashed()) {
-          it->server_.reset();
-          it->on_crash_();
-        }
-      });
+      Crash();
       return;
     }
     if (behaviour.unresponsive) {
@@ -114,6 +101,24 @@
     return head;
   }
 
+  //! Crashes the endpoint, after an event if it sends one before.
+  void Crash() {
+    if (endpoint_->behaviour_.event_before_crash) {
+      AnswerHead head = Head(200, "X-Server-Signature");
+      head.fields.Add("Content-Type", "text/event-stream");
+      head.framing = BodyFraming::kConnectionEnd;
+      connection_->BeginAnswer(head);
+      connection_->WriteBody("id: 1\ndata: x\n\n");
+    }
+    endpoint_->arrivals_.back().crashes = true;
+    endpoint_->loop_->After(kCrashDelay, [it = endpoint_] {
+      if (!it->crashed()) {
+        it->server_.reset();
+        it->on_crash_();
+      }
+    });
+  }
+
   void Reply(int status, const char* marker_header) {
     running_ = false;
     connection_->Answer(Head(status, marker_header), "body");
