--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -222,12 +222,11 @@
     return false;
   }
   // More urgent requests take what the limits allow first.
-  if (room.next == Millis(0) &&
-      context_->UrgentDemand(service_->name, rank_) < room.per_second) {
-    context_->CountLimitedDemand(service_->name, rank_);
+  const double urgent = context_->UrgentDemand(service_->name, rank_);
+  context_->CountLimitedDemand(service_->name, rank_);
+  if (room.next == Millis(0) && urgent <= room.per_second) {
     return false;
   }
-  context_->CountLimitedDemand(service_->name, rank_);
   LogLine(context_->log, "limits_reached")
       .Add("id", request_id_)
       .Add("service", service_->name)
