Review case 4: streams that a shutdown cuts look complete

Cause: an answer with neither a length nor chunks is passed on likewise, and at the end of the grace period the process closes its connections in order.

Done: a script that stops an instance with SIGTERM while streams are open.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Exit code 1: the rule was broken; 0: it held; 2: the case could not run.
+# TROUBLE=0 leaves the disruption out.
+# SIGNAL=KILL kills the instance at once instead of stopping it in order.
+here=$(cd "$(dirname "$0")" && pwd)
+top=$(cd "$here/../.." && pwd)
+cd "$top" || exit 2
+[ -x target/tamaracktrail ] && [ -x review/build/case4 ] || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout -k 5 110 review/build/case4 target/tamaracktrail review/build/endpoint \
+  "$folder" "$here/record.txt" "${TROUBLE:-1}" "${SIGNAL:-TERM}"
+code=$?
+[ "$code" -le 1 ] || exit 2
+exit "$code"
