Keep only cases in folders of the review

Cause: the stand-ins and the build's output lay in folders beside the cases, where each folder is taken for a case.

Done: the stand-ins' sources lie in review/ itself, and the programs are built beside their sources. Their code is unchanged.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,10 +5,10 @@
 here=$(cd "$(dirname "$0")" && pwd)
 top=$(cd "$here/../.." && pwd)
 cd "$top" || exit 2
-[ -x target/tamaracktrail ] && [ -x review/build/case4 ] || exit 2
+[ -x target/tamaracktrail ] && [ -x review/4/case ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout -k 5 110 review/build/case4 target/tamaracktrail review/build/endpoint \
+timeout -k 5 110 review/4/case target/tamaracktrail review/endpoint \
   "$folder" "$here/record.txt" "${TROUBLE:-1}" "${SIGNAL:-TERM}"
 code=$?
 [ "$code" -le 1 ] || exit 2
