Pass a last chunk to the HTTP parser only when it is long enough

Callers saw: an endpoint's answer with an empty body in chunks, cut after "0\r\n", ended the process with SIGABRT, and with it all open requests (LOST). A caller's proper request with such a body in four segments did the same.

Cause: Boost.Beast's parser remembers that it has seen the line of a last chunk and asserts on the next call that the chunk has at least five bytes. That doesn't hold for "0\r\n" as the first chunk. EndpointCall feeds the reader once more at the end of the connection, and a request in segments adds a byte at a time.

The new tests HttpReaderTest.LastChunkInSegmentsIsNotPassedToTheParserTooEarly, HttpReaderTest.ResultDoesNotDependOnSegments and EndpointCallTest/empty_chunked_body_cut_in_its_end aborted before the fix. The second one also found that FeedEnd before the first byte is an assertion.

Why this works: at the start of a chunk every complete message has five more bytes, so HttpReader, which all connections of the platform's adapter share, holds back fewer without delaying anything. FeedEnd reports an error if nothing has arrived.

--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -24,6 +24,10 @@
   });
 }
 
+//! Size of the shortest last chunk, "0\r\n\r\n". At the start of a chunk, every
+//! complete message goes on with at least this many bytes.
+constexpr size_t kMinChunkBytes = 5;
+
 std::string_view View(string_view text) {
   return {text.data(), text.size()};
 }
@@ -68,6 +72,11 @@
   absl::Status Feed(std::string* buf) override {
     size_t consumed = 0;
     while (consumed < buf->size() && !this->is_done()) {
+      // The parser asserts that a last chunk which it has seen before has
+      // kMinChunkBytes.
+      if (AtChunkStart() && buf->size() - consumed < kMinChunkBytes) {
+        break;
+      }
       error_code ec;
       const size_t n =
           this->put(boost::asio::const_buffer(buf->data() + consumed,
@@ -92,6 +101,9 @@
   }
 
   absl::Status FeedEnd() override {
+    if (!started) {
+      return Describe(http::error::end_of_stream);
+    }
     error_code ec;
     this->put_eof(ec);
     return ec ? Describe(ec) : absl::OkStatus();
@@ -115,6 +127,12 @@
                                            : absl::InvalidArgumentError(text);
   }
 
+  //! Whether the next byte belongs to the line of a chunk's size, or to the
+  //! line break before it.
+  bool AtChunkStart() const {
+    return head_done && this->chunked() && chunk_bytes_left_ == 0;
+  }
+
   void on_request_impl(http::verb,
                        string_view method_text,
                        string_view target_text,
@@ -180,14 +198,19 @@
     return text.size();
   }
 
-  void on_chunk_header_impl(uint64_t, string_view, error_code&) override {}
+  void on_chunk_header_impl(uint64_t size, string_view, error_code&) override {
+    chunk_bytes_left_ = size;
+  }
 
   size_t on_chunk_body_impl(uint64_t, string_view text, error_code&) override {
     body.append(text.data(), text.size());
+    chunk_bytes_left_ -= text.size();
     return text.size();
   }
 
   void on_finish_impl(error_code&) override {}
+
+  uint64_t chunk_bytes_left_ = 0;  //!< Of the chunk that is being read.
 };
 
 HttpReader::HttpReader(Kind kind, uint32_t max_header_bytes) {
--- a/tests/protocol/http_reader_test.cpp
+++ b/tests/protocol/http_reader_test.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <random>
 #include <string>
+#include <vector>
 
 namespace tamaracktrail {
 namespace {
@@ -119,5 +122,113 @@
   EXPECT_FALSE(reader.FeedEnd().ok());
 }
 
+// Guards against an abort of the process: the parser's precondition on the size
+// of a last chunk does not hold for one that arrives in segments.
+TEST(HttpReaderTest, LastChunkInSegmentsIsNotPassedToTheParserTooEarly) {
+  const std::string head =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string last_chunk = "0\r\n\r\n";
+  for (size_t first = 0; first <= last_chunk.size(); ++first) {
+    SCOPED_TRACE(first);
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes);
+    std::string buf = head + last_chunk.substr(0, first);
+    ASSERT_TRUE(reader.Feed(&buf).ok());
+    ASSERT_TRUE(reader.Feed(&buf).ok());
+    EXPECT_EQ(reader.done(), first == last_chunk.size());
+    for (size_t i = first; i < last_chunk.size(); ++i) {
+      EXPECT_FALSE(reader.done());
+      buf.push_back(last_chunk[i]);
+      ASSERT_TRUE(reader.Feed(&buf).ok());
+    }
+    EXPECT_TRUE(reader.done());
+    EXPECT_TRUE(buf.empty());
+  }
+}
+
+//! A response that is well-formed for about half of the seeds; of the others,
+//! one byte is replaced, inserted or removed.
+std::string RandomResponse(std::mt19937_64* random) {
+  const auto draw = [&](size_t n) { return (*random)() % n; };
+  std::string text = "HTTP/1.1 200 OK\r\nX-A: 1\r\n";
+  const std::string body(draw(40), 'x');
+  switch (draw(4)) {
+    case 0:
+      text +=
+          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+      break;
+    case 1:
+      text += "\r\n" + body;
+      break;
+    default:
+      text += "Transfer-Encoding: chunked\r\n\r\n";
+      for (size_t at = 0; at < body.size();) {
+        const size_t n = std::min(body.size() - at, 1 + draw(15));
+        text += "0123456789abcdef"[n];
+        text += draw(3) == 0 ? ";a=b\r\n" : "\r\n";
+        text += body.substr(at, n) + "\r\n";
+        at += n;
+      }
+      text += draw(3) == 0 ? "000;a\r\n" : "0\r\n";
+      text += draw(3) == 0 ? "X-T: 1\r\n\r\n" : "\r\n";
+      break;
+  }
+  const size_t at = draw(text.size());
+  const char byte = "\r\n0;:ax \t\x7f"[draw(10)];
+  switch (draw(6)) {
+    case 0:
+      text[at] = byte;
+      break;
+    case 1:
+      text.insert(at, 1, byte);
+      break;
+    case 2:
+      text.erase(at, 1);
+      break;
+    default:
+      break;
+  }
+  return text;
+}
+
+//! What a reader makes of a response that arrives in `segments`, of which some
+//! are empty, and then ends.
+std::string ReadResponse(const std::vector<std::string>& segments) {
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes);
+  std::string buf;
+  absl::Status status;
+  for (const std::string& it : segments) {
+    buf += it;
+    if (status.ok()) {
+      status = reader.Feed(&buf);
+    }
+  }
+  if (status.ok() && !reader.done()) {
+    status = reader.FeedEnd();
+  }
+  if (!status.ok() || !reader.done()) {
+    return "not complete";
+  }
+  return std::to_string(reader.status()) + " " + reader.body() + " rest " + buf;
+}
+
+// Guards against results that depend on how the network splits a message, and
+// against messages that end the process.
+TEST(HttpReaderTest, ResultDoesNotDependOnSegments) {
+  for (uint64_t seed = 1; seed <= 20000; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937_64 random(seed);
+    const std::string text = RandomResponse(&random).substr(
+        0, random() % 8 == 0 ? random() % 120 : 1000);
+    std::vector<std::string> segments = {""};
+    for (const char c : text) {
+      while (random() % 4 == 0) {
+        segments.emplace_back();
+      }
+      segments.back() += c;
+    }
+    ASSERT_EQ(ReadResponse(segments), ReadResponse({text}));
+  }
+}
+
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -184,6 +184,10 @@
                   "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 9\r\n\r\n"
                   "abc",
                   false, "abc"},
+        RawAnswer{"empty_chunked_body_cut_in_its_end",
+                  "HTTP/1.1 200 OK\r\nX-Id: own\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n0\r\n",
+                  false, ""},
         RawAnswer{"malformed_head", "no answer at all\r\n\r\n", false, ""},
         RawAnswer{"closed_without_answer", "", false, ""},
         RawAnswer{"mismatched_then_own",
