Limit all parts of an HTTP message in its reader

Callers saw: an endpoint that sends a chunk size, a chunk extension or a trailer without end fills the memory of the instance (over 260 MB in 1.2 s); the process is killed and with it all open requests (LOST).

Cause: HttpReader limited the head alone. What the parser doesn't consume, the bytes between the data of two chunks, collected in the buffers of EndpointCall and CallerConnection. HttpFetch, which reads the answers of the store and of peers, limited no part of the body either.

Why this works: the reader takes both limits and no user can leave them out. Once the head is done, bytes that the parser leaves can only be chunk framing or a trailer, which max_header_bytes now covers. Parsing one element per call makes the result independent of how the bytes are segmented.

--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
-#include <limits>
 
 #include "absl/strings/str_cat.h"
 #include "protocol/text.h"
@@ -62,11 +61,13 @@
 class HttpReader::Parser : public HttpReader::Base,
                            private http::basic_parser<kIsRequest> {
  public:
-  explicit Parser(uint32_t max_header_bytes) {
+  Parser(uint32_t max_header_bytes, uint64_t max_body_bytes)
+      : max_header_bytes_(max_header_bytes) {
     this->header_limit(max_header_bytes);
-    // Users of HttpReader limit the size of bodies.
-    this->body_limit(std::numeric_limits<uint64_t>::max());
-    this->eager(true);
+    this->body_limit(max_body_bytes);
+    // Each call to `put` parses one element, so that the bytes between the data
+    // of two chunks can be counted.
+    this->eager(false);
   }
 
   absl::Status Feed(std::string* buf) override {
@@ -77,6 +78,7 @@
       if (AtChunkStart() && buf->size() - consumed < kMinChunkBytes) {
         break;
       }
+      const bool at_chunk_start = AtChunkStart();
       error_code ec;
       const size_t n =
           this->put(boost::asio::const_buffer(buf->data() + consumed,
@@ -86,6 +88,10 @@
       // With need_more, bytes of the message have arrived even if none of them
       // was consumed.
       started = started || n > 0 || ec == http::error::need_more;
+      if (at_chunk_start &&
+          (n > 0 ? n : buf->size() - consumed) > max_header_bytes_) {
+        return absl::ResourceExhaustedError("HTTP: chunk framing limit");
+      }
       if (ec == http::error::need_more) {
         break;
       }
@@ -123,8 +129,11 @@
  private:
   static absl::Status Describe(const error_code& ec) {
     const std::string text = absl::StrCat("HTTP: ", ec.message());
-    return ec == http::error::header_limit ? absl::ResourceExhaustedError(text)
-                                           : absl::InvalidArgumentError(text);
+    if (ec == http::error::header_limit) {
+      return absl::ResourceExhaustedError(text);
+    }
+    return ec == http::error::body_limit ? absl::OutOfRangeError(text)
+                                         : absl::InvalidArgumentError(text);
   }
 
   //! Whether the next byte belongs to the line of a chunk's size, or to the
@@ -210,14 +219,17 @@
 
   void on_finish_impl(error_code&) override {}
 
+  size_t max_header_bytes_;
   uint64_t chunk_bytes_left_ = 0;  //!< Of the chunk that is being read.
 };
 
-HttpReader::HttpReader(Kind kind, uint32_t max_header_bytes) {
+HttpReader::HttpReader(Kind kind,
+                       uint32_t max_header_bytes,
+                       uint64_t max_body_bytes) {
   if (kind == Kind::kRequest) {
-    parser_ = std::make_unique<Parser<true>>(max_header_bytes);
+    parser_ = std::make_unique<Parser<true>>(max_header_bytes, max_body_bytes);
   } else {
-    parser_ = std::make_unique<Parser<false>>(max_header_bytes);
+    parser_ = std::make_unique<Parser<false>>(max_header_bytes, max_body_bytes);
   }
 }
 
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -2,6 +2,7 @@
 #define PROTOCOL_HTTP_READER_H_
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -20,13 +21,20 @@
  public:
   enum class Kind { kRequest, kResponse };
 
+  //! For a body whose bytes the user takes from `body` as they come.
+  static constexpr uint64_t kNoBodyLimit = std::numeric_limits<uint64_t>::max();
+
   //! `max_header_bytes` limits the start line and the header fields together.
-  HttpReader(Kind kind, uint32_t max_header_bytes);
+  //! It also limits what a body in chunks has between its data: each line of a
+  //! chunk's size with its extensions, and the last chunk with its trailer.
+  //! `max_body_bytes` limits the data of the body.
+  HttpReader(Kind kind, uint32_t max_header_bytes, uint64_t max_body_bytes);
   ~HttpReader();
 
   //! Parses the part of `buf` that belongs to this message and removes it from
-  //! `buf`. Errors: kResourceExhausted if the head is over its limit, otherwise
-  //! kInvalidArgument.
+  //! `buf`; what it leaves there is less than `max_header_bytes` unless the
+  //! message is done. Errors: kResourceExhausted if `max_header_bytes` is
+  //! exceeded, kOutOfRange if `max_body_bytes` is, otherwise kInvalidArgument.
   absl::Status Feed(std::string* buf);
 
   //! To be called when the peer has closed its side. Errors: the message is
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -1,6 +1,5 @@
 #include "transport/relay/caller_connection.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <glog/logging.h>
@@ -77,7 +76,8 @@
   }
   if (reader_ == nullptr) {
     reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kRequest,
-                                           limits().max_header_bytes);
+                                           limits().max_header_bytes,
+                                           limits().max_body_bytes);
     request_begun_ = true;
     waiting_since_ = loop_->Now();
   }
@@ -86,16 +86,12 @@
     RejectRequest(431, "Request Header Fields Too Large");
     return;
   }
-  if (!fed.ok()) {
-    RejectRequest(400, "Bad Request");
+  if (absl::IsOutOfRange(fed)) {
+    RejectRequest(413, "Content Too Large");
     return;
   }
-  const uint64_t declared_length =
-      reader_->head_done() ? reader_->content_length().value_or(0) : 0;
-  if (reader_->head_done() &&
-      std::max<uint64_t>(declared_length, reader_->body().size()) >
-          limits().max_body_bytes) {
-    RejectRequest(413, "Content Too Large");
+  if (!fed.ok()) {
+    RejectRequest(400, "Bad Request");
     return;
   }
   if (reader_->done()) {
--- a/src/transport/relay/endpoint_call.cpp
+++ b/src/transport/relay/endpoint_call.cpp
@@ -168,7 +168,8 @@
 
 void EndpointCall::StartReader() {
   reader_ = std::make_unique<HttpReader>(HttpReader::Kind::kResponse,
-                                         kMaxAnswerHeadBytes);
+                                         kMaxAnswerHeadBytes,
+                                         options_.max_body_bytes);
   if (!options_.expects_body) {
     reader_->ExpectNoBody();
   }
--- a/src/transport/relay/endpoint_call.h
+++ b/src/transport/relay/endpoint_call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "protocol/http_reader.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/tcp_stream.h"
@@ -14,7 +15,6 @@
 namespace tamaracktrail {
 
 class ConnectionPool;
-class HttpReader;
 
 //! One HTTP exchange with an endpoint: connects or reuses an idle connection,
 //! sends a request once, and reads one answer.
@@ -51,6 +51,9 @@
     Millis connect_timeout;
     Millis ack_timeout;  //!< See TcpStream::Connect.
     Millis max_idle;     //!< Of a connection taken from the pool.
+    //! Size limit of the answer's body. Without one, the observer has to limit
+    //! the bytes that it keeps.
+    uint64_t max_body_bytes = HttpReader::kNoBodyLimit;
   };
 
   //! Precondition: loop, pool and observer outlive the call.
--- a/src/transport/relay/http_fetch.cpp
+++ b/src/transport/relay/http_fetch.cpp
@@ -19,6 +19,10 @@
 //! become unresponsive.
 constexpr Millis kMaxIdle{10000};
 
+//! Size limit of an answer. The largest are pages of the store: a megabyte of
+//! values in base64, with up to 500 keys.
+constexpr uint64_t kMaxAnswerBytes = 4 * 1024 * 1024;
+
 }  // namespace
 
 HttpFetch::HttpFetch(EventLoop* loop,
@@ -39,6 +43,7 @@
   options.connect_timeout = std::min(kConnectTimeout, timeout);
   options.ack_timeout = timeout;
   options.max_idle = kMaxIdle;
+  options.max_body_bytes = kMaxAnswerBytes;
   call_ = std::make_unique<EndpointCall>(loop, pool, options, this);
   std::string head =
       absl::StrCat(method, " ", target, " HTTP/1.1\r\nHost: ", address, "\r\n");
--- a/src/transport/relay/http_fetch.h
+++ b/src/transport/relay/http_fetch.h
@@ -15,8 +15,8 @@
 
 class ConnectionPool;
 
-//! One HTTP call that buffers the complete answer in memory; meant for small
-//! answers. Destroying it cancels the call. Not thread-safe.
+//! One HTTP call that buffers the complete answer in memory. An answer of more
+//! than 4 MiB fails. Destroying it cancels the call. Not thread-safe.
 class HttpFetch : public EndpointCall::Observer {
  public:
   //! An answer with any status.
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -387,6 +387,19 @@
   }
 }
 
+// Guards against the bytes between the chunks of a body filling the memory.
+TEST_F(RawAnswerTest, ChunkFramingWithoutEndFails) {
+  settings_.grace_period = Millis(1000);
+  for (const char* it : {"", "1\r\nx\r\n", "1;a=", "0\r\nX-T: "}) {
+    SCOPED_TRACE(it);
+    Caller* caller = RunAgainst(
+        "fee", absl::StrCat(kHead, "Transfer-Encoding: chunked\r\n\r\n", it),
+        std::string(65536, '0'));
+    EXPECT_EQ(caller->status(), 502);
+    EXPECT_LT(raw_->sent(), size_t{16 * 1024 * 1024});
+  }
+}
+
 TEST_F(RawAnswerTest, HeadWithoutEndFails) {
   Caller* caller =
       RunAgainst("fee", "HTTP/1.1 200 OK\r\n", "X-Filler: xxxxxxxxxxxxxx\r\n");
--- a/tests/protocol/http_reader_test.cpp
+++ b/tests/protocol/http_reader_test.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr uint32_t kMaxHeaderBytes = 4096;
+constexpr uint64_t kMaxBodyBytes = 4096;
 
 struct BadRequest {
   const char* name;
@@ -20,7 +21,7 @@
 class BadRequestTest : public testing::TestWithParam<BadRequest> {};
 
 TEST_P(BadRequestTest, IsNotParsedAsCompleteRequest) {
-  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes, kMaxBodyBytes);
   std::string buf = GetParam().text;
   EXPECT_FALSE(reader.Feed(&buf).ok() && reader.done());
 }
@@ -71,7 +72,7 @@
   const std::string text =
       "POST /a?b=c HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nContent-Length: 3\r\n\r\n"
       "abc";
-  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes, kMaxBodyBytes);
   std::string buf;
   for (const char c : text) {
     buf.push_back(c);
@@ -88,7 +89,7 @@
 }
 
 TEST(HttpReaderTest, ChunkedBodyIsDecoded) {
-  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes, kMaxBodyBytes);
   std::string buf =
       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
       "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
@@ -98,14 +99,15 @@
 }
 
 TEST(HttpReaderTest, HeadOverLimitReturnsResourceExhausted) {
-  HttpReader reader(HttpReader::Kind::kRequest, 256);
+  HttpReader reader(HttpReader::Kind::kRequest, 256, kMaxBodyBytes);
   std::string buf =
       "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(1000, 'a') + "\r\n\r\n";
   EXPECT_TRUE(absl::IsResourceExhausted(reader.Feed(&buf)));
 }
 
 TEST(HttpReaderTest, ResponseWithoutLengthEndsWhenConnectionCloses) {
-  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes,
+                    kMaxBodyBytes);
   std::string buf = "HTTP/1.1 200 OK\r\n\r\nabc";
   ASSERT_TRUE(reader.Feed(&buf).ok());
   EXPECT_EQ(reader.framing(), BodyFraming::kConnectionEnd);
@@ -115,7 +117,8 @@
 }
 
 TEST(HttpReaderTest, TruncatedResponseIsAnErrorWhenConnectionCloses) {
-  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes,
+                    kMaxBodyBytes);
   std::string buf = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc";
   ASSERT_TRUE(reader.Feed(&buf).ok());
   EXPECT_FALSE(reader.done());
@@ -130,7 +133,8 @@
   const std::string last_chunk = "0\r\n\r\n";
   for (size_t first = 0; first <= last_chunk.size(); ++first) {
     SCOPED_TRACE(first);
-    HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes);
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHeaderBytes,
+                      kMaxBodyBytes);
     std::string buf = head + last_chunk.substr(0, first);
     ASSERT_TRUE(reader.Feed(&buf).ok());
     ASSERT_TRUE(reader.Feed(&buf).ok());
@@ -193,7 +197,8 @@
 //! What a reader makes of a response that arrives in `segments`, of which some
 //! are empty, and then ends.
 std::string ReadResponse(const std::vector<std::string>& segments) {
-  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes);
+  HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes,
+                    kMaxBodyBytes);
   std::string buf;
   absl::Status status;
   for (const std::string& it : segments) {
--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -12,7 +12,8 @@
 constexpr Millis kUnacknowledgedTimeout{5000};
 
 std::unique_ptr<HttpReader> MakeReader() {
-  return std::make_unique<HttpReader>(HttpReader::Kind::kResponse, kMaxBytes);
+  return std::make_unique<HttpReader>(HttpReader::Kind::kResponse, kMaxBytes,
+                                      HttpReader::kNoBodyLimit);
 }
 
 }  // namespace
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -30,7 +30,8 @@
       : endpoint_(endpoint),
         fd_(fd),
         reader_(std::make_unique<HttpReader>(HttpReader::Kind::kRequest,
-                                             kReadBytes)),
+                                             kReadBytes,
+                                             HttpReader::kNoBodyLimit)),
         stream_(TcpStream::Adopt(endpoint->loop_, fd, this)) {}
   ~Connection() override { endpoint_->loop_->Cancel(&timer_); }
 
@@ -51,8 +52,8 @@
           std::string(reader_->fields().Find("X-Request-Id").value_or(""))}}));
     stream_->Flush();
     if (answer.end == End::kServeNext) {
-      reader_ =
-          std::make_unique<HttpReader>(HttpReader::Kind::kRequest, kReadBytes);
+      reader_ = std::make_unique<HttpReader>(
+          HttpReader::Kind::kRequest, kReadBytes, HttpReader::kNoBodyLimit);
       return;
     }
     answered_ = true;
