Reset connections whose unframed answer is not complete

Cause: the end of such a stream is the close of its connection, and a close in order was what happened by default: in the destructors at exit, in the kernel after SIGKILL, and when a caller had closed its own side. Only an answer that the instance itself broke off was reset.

All six cases of the new CutAnswerTest failed before the fix: the end of the grace period, SIGKILL of a real process, and a caller that closes its sending side, each with HTTP/1.1 and HTTP/1.0.

Why this works: the socket is set to be reset on close from the head of such an answer on, and set back when all of its bytes are with the kernel, right before its sending side is closed. The kernel does the same for a killed process.

Requests that the exit cuts are logged as such, no longer as callers that left.

--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -137,6 +137,11 @@
                         : head.framing;
   close_after_ = !keep_alive_ || head.close_connection || server_->draining() ||
                  answer_framing_ == BodyFraming::kConnectionEnd;
+  // Until the answer is complete, any other end of the connection has to differ
+  // from the one that completes it, even if the process is killed.
+  if (answer_framing_ == BodyFraming::kConnectionEnd) {
+    stream_->SetResetOnClose(true);
+  }
   std::string text =
       absl::StrCat("HTTP/1.1 ", head.status, " ", head.reason, "\r\n");
   for (const HttpField& it : head.fields.all()) {
@@ -208,12 +213,17 @@
   input_.clear();
   stream_->PauseReading(false);
   if (stream_->pending_bytes() == 0) {
-    stream_->ShutDownWriting();
+    CloseInOrder();
   }
 }
 
+void CallerConnection::CloseInOrder() {
+  stream_->SetResetOnClose(false);
+  stream_->ShutDownWriting();
+}
+
 void CallerConnection::Abort() {
-  stream_->Abort();
+  stream_->SetResetOnClose(true);
   server_->Defer(this, [this] { Close(); });
 }
 
@@ -223,7 +233,7 @@
 
 void CallerConnection::OnDrained() {
   if (phase_ == Phase::kLingering) {
-    stream_->ShutDownWriting();
+    CloseInOrder();
   } else if (task_ != nullptr) {
     task_->OnCallerDrained();
   }
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -40,8 +40,9 @@
   //! it is framed by length.
   void WriteBody(std::string_view bytes);
   //! Completes the answer: with the last chunk, or by closing the connection in
-  //! order if the answer has neither a length nor chunks. The task is destroyed
-  //! after the handlers of this wake-up.
+  //! order if the answer has neither a length nor chunks. If that does not
+  //! happen, such a connection is reset. The task is destroyed after the
+  //! handlers of this wake-up.
   void EndAnswer();
   //! Writes a complete answer: with its length, unless `head` says that it ends
   //! with the connection. Precondition: as for `BeginAnswer`.
@@ -74,6 +75,8 @@
   void StartTask();
   void FinishTask();
   void StartLingering();
+  //! Closes the sending side, which completes an answer without framing.
+  void CloseInOrder();
   void Close();
   const CallerLimits& limits() const;
 
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -78,7 +78,13 @@
 
 RelayTask::~RelayTask() {
   if (!finished_) {
-    LogEnd(0, "caller_left", "connection closed by the caller");
+    const bool stopping = context_->exit_deadline > Millis(0) &&
+                          context_->loop->Now() >= context_->exit_deadline;
+    if (stopping) {
+      LogEnd(0, "broken_off", "shutdown");
+    } else {
+      LogEnd(0, "caller_left", "connection closed by the caller");
+    }
   }
   if (ticket_) {
     context_->registry.OnAbandoned(&*ticket_);
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -143,10 +143,10 @@
   }
 }
 
-void TcpStream::Abort() {
+void TcpStream::SetResetOnClose(bool on) {
   if (fd_ >= 0) {
-    const linger reset{1, 0};
-    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    const linger option{on ? 1 : 0, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
   }
 }
 
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -80,9 +80,10 @@
   //! Closes the sending side (FIN). Precondition: `pending_bytes()` is 0.
   void ShutDownWriting();
 
-  //! Makes the close send a reset, so that the peer cannot mistake the bytes it
-  //! received for a complete message.
-  void Abort();
+  //! Whether the close sends a reset, so that the peer cannot mistake the bytes
+  //! it received for a complete message. Also holds for a close by the kernel
+  //! when the process ends. Off at first.
+  void SetResetOnClose(bool on);
 
   //! Buffered bytes that are not yet handed to the kernel.
   size_t pending_bytes() const { return output_.size() - output_sent_; }
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -1,5 +1,9 @@
 #include <gtest/gtest.h>
+#include <signal.h>
+#include <unistd.h>
 
+#include <filesystem>
+#include <functional>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -9,6 +13,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "platform/front_fixture.h"
+#include "soak/instance_process.h"
 #include "support/scripted_endpoint.h"
 
 namespace tamaracktrail {
@@ -335,6 +340,13 @@
   //! Sends a request on `route` to endpoints that answer from one script.
   Caller* RunAgainst(const std::string& request,
                      std::vector<ScriptedEndpoint::Answer> answers) {
+    UseScript(request, std::move(answers));
+    return RunOne(request);
+  }
+
+  //! Makes one script the answers of all endpoints for `request`.
+  void UseScript(const std::string& request,
+                 std::vector<ScriptedEndpoint::Answer> answers) {
     endpoint_ = std::make_unique<ScriptedEndpoint>(&loop_, std::move(answers));
     // The answers have been given; there is nobody to wait for.
     settings_.grace_period = Millis(1000);
@@ -344,7 +356,6 @@
                  it->DirectoryEntry(streams ? "llm" : "app", 2, false,
                                     endpoint_->address()));
     }
-    return RunOne(request);
   }
 
   static Seen SeenBy(Caller* caller) {
@@ -478,6 +489,88 @@
   EXPECT_EQ(SeenBy(caller), Seen::kBrokenOff);
 }
 
+//! The versions of HTTP that callers speak; see Http10CallerGetsNoChunks.
+constexpr const char* kVersions[] = {"HTTP/1.1", "HTTP/1.0"};
+
+//! A stream that does not end, and whose caller is told only by the end of the
+//! connection when it does.
+class CutAnswerTest : public AnswerEndTest,
+                      public testing::WithParamInterface<const char*> {
+ protected:
+  CutAnswerTest()
+      : request_(absl::StrReplaceAll(SampleRequest("report", "id-1"),
+                                     {{"HTTP/1.1", GetParam()}})) {
+    UseScript(request_,
+              {{MakeAnswer(Framing::kNone, kEvent1, kEvent1), End::kKeepOpen}});
+  }
+
+  //! Calls `then` once the caller has an event of the stream.
+  void AwaitEvent(const std::function<void()>& then) {
+    caller_ = Send(request_);
+    Await([this] { return !caller_->answer().body().empty(); }, then);
+  }
+
+  //! Delivers what the instance left on the connection of the caller.
+  void RunLoopFor(Millis time) {
+    loop_.After(time, [this] { loop_.Quit(); });
+    loop_.Run();
+  }
+
+  std::string request_;
+  Caller* caller_ = nullptr;
+};
+
+// Guards against streams that the exit of the process cuts and that look
+// complete.
+TEST_P(CutAnswerTest, StreamOpenAtTheEndOfTheShutdownIsBrokenOff) {
+  Run([this] { AwaitEvent([] { Stop(); }); });
+  RunLoopFor(Millis(50));
+  EXPECT_EQ(caller_->answer().body(), kEvent1);
+  EXPECT_EQ(SeenBy(caller_), Seen::kBrokenOff);
+}
+
+// Guards against streams that look complete because the kernel closes the
+// connections of a killed process in order.
+TEST_P(CutAnswerTest, StreamOfKilledProcessIsBrokenOff) {
+  const std::string folder =
+      absl::StrCat(testing::TempDir(), "/cut-answer-", getpid());
+  std::filesystem::create_directories(folder);
+  InstanceProcess process(&loop_, PROGRAM, folder, "node-1", store_.address());
+  settings_.callers_address = process.callers_address();
+  settings_.health_address = process.health_address();
+  process.Start();
+  WhenReady([&] {
+    AwaitEvent([&] {
+      process.Signal(SIGKILL);
+      Await([this] { return caller_->finished(); }, [this] { loop_.Quit(); });
+    });
+  });
+  RunLoopFor(Millis(4000));
+  std::filesystem::remove_all(folder);
+  ASSERT_NE(caller_, nullptr);
+  EXPECT_EQ(caller_->answer().body(), kEvent1);
+  EXPECT_EQ(SeenBy(caller_), Seen::kBrokenOff);
+}
+
+// Guards against a stream that looks complete to a caller that has closed its
+// sending side only.
+TEST_P(CutAnswerTest, StreamOfCallerThatEndsItsSideIsBrokenOff) {
+  Run([this] {
+    AwaitEvent([this] {
+      caller_->ShutDownWriting();
+      AwaitOver(caller_, [] { Stop(); });
+    });
+  });
+  EXPECT_EQ(SeenBy(caller_), Seen::kBrokenOff);
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         CutAnswerTest,
+                         testing::ValuesIn(kVersions),
+                         [](const auto& info) {
+                           return info.index == 0 ? "Http11" : "Http10";
+                         });
+
 std::string CaseName(const testing::TestParamInfo<EndCase>& info) {
   return info.param.name;
 }
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -23,6 +23,9 @@
   //! reusable().
   void SendAnother(const std::string& request);
 
+  //! Closes the sending side; the answer is still read.
+  void ShutDownWriting() { stream_->ShutDownWriting(); }
+
   //! Closes the connection without waiting for the answer.
   void Disconnect() { stream_.reset(); }
 
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -51,7 +51,7 @@
   void Reset() {
     for (Side* it : {&client_, &server_}) {
       if (it->stream) {
-        it->stream->Abort();
+        it->stream->SetResetOnClose(true);
         it->stream.reset();
       }
     }
--- a/tests/support/scripted_endpoint.cpp
+++ b/tests/support/scripted_endpoint.cpp
@@ -60,7 +60,7 @@
     if (answer.end != End::kKeepOpen) {
       timer_ = endpoint_->loop_->After(kEndDelay, [this, end = answer.end] {
         if (end == End::kReset) {
-          stream_->Abort();
+          stream_->SetResetOnClose(true);
         }
         Remove();
       });
