Ignore SIGPIPE in commands that serve

Cause, one of several that can lead to this: the log is written to standard output, and nothing handles SIGPIPE. Once the reader of a pipe has gone, as when a collector of logs restarts, the next line ends the process.

Why this works: a write without a reader fails with EPIPE, and EventLog treats that like a reader that stalls.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -17,6 +17,7 @@
 #include "cli/instance.h"
 #include "cli/log_session.h"
 #include "cli/publication.h"
+#include "cli/server_process.h"
 #include "cli/settings.h"
 #include "cli/simple_get.h"
 #include "coordination/catalog.h"
@@ -69,6 +70,7 @@
 }
 
 ExitCode RunServe(const Arguments&) {
+  SetUpServerProcess();
   const std::optional<Settings> settings = ReadSettings();
   if (!settings.has_value()) {
     return ExitCode::kBadInput;
--- /dev/null
+++ b/src/cli/server_process.h
@@ -0,0 +1,13 @@
+#ifndef CLI_SERVER_PROCESS_H_
+#define CLI_SERVER_PROCESS_H_
+
+namespace tamaracktrail {
+
+//! Prepares the process of a command that serves until it is stopped, whatever
+//! it inherited from its parent: a write to a pipe or socket without a reader
+//! fails and does not end the process. Precondition: no other thread runs yet.
+void SetUpServerProcess();
+
+}  // namespace tamaracktrail
+
+#endif  // CLI_SERVER_PROCESS_H_
--- a/tests/soak/instance_process.cpp
+++ b/tests/soak/instance_process.cpp
@@ -58,12 +58,13 @@
                         nullptr};
   // An instance that outlived its parent would keep calling the ports of the
   // stand-ins, which other processes may use by then.
-  const GSpawnChildSetupFunc die_with_parent = [](gpointer) {
+  const GSpawnChildSetupFunc setup = [](gpointer data) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    (*static_cast<std::function<void()>*>(data))();
   };
   CHECK(g_spawn_async_with_fds(nullptr, arguments, nullptr,
-                               G_SPAWN_DO_NOT_REAP_CHILD, die_with_parent,
-                               nullptr, &pid_, -1, log, log, nullptr))
+                               G_SPAWN_DO_NOT_REAP_CHILD, setup, &child_setup_,
+                               &pid_, -1, log, log, nullptr))
       << "event=not_started binary=" << binary_;
   close(log);
   ++start_count_;
@@ -75,7 +76,7 @@
 }
 
 bool InstanceProcess::running() {
-  if (pid_ > 0 && waitpid(pid_, nullptr, WNOHANG) == pid_) {
+  if (pid_ > 0 && waitpid(pid_, &exit_status_, WNOHANG) == pid_) {
     pid_ = 0;
   }
   return pid_ > 0;
--- a/tests/soak/instance_process.h
+++ b/tests/soak/instance_process.h
@@ -3,8 +3,10 @@
 
 #include <sys/types.h>
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include "state/millis.h"
 #include "support/fault_proxy.h"
@@ -31,6 +33,12 @@
   const std::string& log_path() const { return log_path_; }
   FaultProxy& store_link() { return store_link_; }
 
+  //! Called in the child before the program is executed. Only async-signal-safe
+  //! functions may be used there.
+  void SetChildSetup(std::function<void()> setup) {
+    child_setup_ = std::move(setup);
+  }
+
   //! Precondition: not running.
   void Start();
   //! Precondition: running.
@@ -39,6 +47,8 @@
   //! exited.
   bool running();
   pid_t pid() const { return pid_; }
+  //! Of the process that ended last, as from waitpid.
+  int exit_status() const { return exit_status_; }
   //! Number of starts of the process.
   int start_count() const { return start_count_; }
 
@@ -51,7 +61,9 @@
   std::string log_path_;
   FaultProxy store_link_;
   pid_t pid_ = 0;
+  int exit_status_ = 0;
   int start_count_ = 0;
+  std::function<void()> child_setup_ = [] {};
 };
 
 }  // namespace tamaracktrail
