--- a/src/transport/socket_address.cpp
+++ b/src/transport/socket_address.cpp
@@ -18,6 +18,12 @@
 //! overflow the queue, since a dropped SYN is retransmitted only after 1 s.
 constexpr int kListenBacklog = 1024;
 
+absl::Status BindError(int ec, const char* call, const std::string& address) {
+  const absl::Status status =
+      absl::ErrnoToStatus(ec, absl::StrCat(call, " ", address));
+  return ec == EADDRINUSE ? absl::AlreadyExistsError(status.message()) : status;
+}
+
 absl::StatusOr<int> OpenBoundSocket(const std::string& address, int type) {
   const absl::StatusOr<sockaddr_in> parsed = ParseSocketAddress(address);
   if (!parsed.ok()) {
@@ -33,7 +39,7 @@
       0) {
     const int ec = errno;
     close(fd);
-    return absl::ErrnoToStatus(ec, absl::StrCat("bind ", address));
+    return BindError(ec, "bind", address);
   }
   return fd;
 }
@@ -62,7 +68,7 @@
   if (fd.ok() && listen(*fd, kListenBacklog) != 0) {
     const int ec = errno;
     close(*fd);
-    return absl::ErrnoToStatus(ec, absl::StrCat("listen ", address));
+    return BindError(ec, "listen", address);
   }
   return fd;
 }
--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -78,6 +78,8 @@
   Caller* answered_ = nullptr;
 };
 
+// Guards against SIGPIPE ending the process, for instance when a collector of
+// logs restarts.
 TEST_F(FrontProcessTest, SurvivesTheReaderOfItsLog) {
   int fds[2];
   ASSERT_EQ(pipe2(fds, O_CLOEXEC), 0);
@@ -98,5 +100,32 @@
   EXPECT_TRUE(Served());
 }
 
+// Guards against a process that ends by itself because another one has one of
+// its addresses for a while.
+TEST_F(FrontProcessTest, WaitsForAnAddressThatIsTaken) {
+  const auto taken = ListenTcp(settings_.health_address);
+  ASSERT_TRUE(taken.ok());
+  loop_.After(Millis(700), [&] {
+    EXPECT_TRUE(process_->running());
+    close(*taken);
+  });
+  RunProcess([] {}, [this] { Finish(); });
+  EXPECT_TRUE(Served());
+  EXPECT_EQ(process_->start_count(), 1);
+  EXPECT_NE(ReadLog().find("event=address_taken"), std::string::npos);
+}
+
+TEST_F(FrontProcessTest, StopsWhileItWaitsForAnAddress) {
+  const auto taken = ListenTcp(settings_.health_address);
+  ASSERT_TRUE(taken.ok());
+  loop_.After(Millis(500), [this] { process_->Signal(SIGTERM); });
+  loop_.After(Millis(1000), [this] { loop_.Quit(); });
+  process_->Start();
+  loop_.Run();
+  EXPECT_FALSE(process_->running());
+  EXPECT_EQ(process_->exit_status(), 0);
+  close(*taken);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
