Respect the process's limit of open files

Users saw, on real processes: requests without an answer (LOST).

Cause, another one that can lead to this: nothing read the limit of open files. Callers took the descriptors that endpoints and the store need, and a listener without a free descriptor was ready again at once, which used a whole core.

Why this works: the soft limit is raised to the settings where the hard limit allows it; otherwise the instance says so and accepts fewer connections. A listener pauses for 100 ms after a failed accept.

--- a/src/cli/server_process.h
+++ b/src/cli/server_process.h
@@ -8,6 +8,11 @@
 //! fails and does not end the process. Precondition: no other thread runs yet.
 void SetUpServerProcess();
 
+//! Raises the process's limit of open files to `wanted` as far as the system
+//! allows. Returns the number of files that may be open, `wanted` at most.
+//! Thread-safe.
+int RaiseDescriptorLimit(int wanted);
+
 }  // namespace tamaracktrail
 
 #endif  // CLI_SERVER_PROCESS_H_
--- a/src/transport/relay/relay_server.cpp
+++ b/src/transport/relay/relay_server.cpp
@@ -21,6 +21,10 @@
 //! Interval between checks of the connections' timeouts.
 constexpr Millis kTimeoutCheckInterval{250};
 
+//! Time without accepting after a failure, most likely for want of a
+//! descriptor.
+constexpr Millis kAcceptRetryInterval{100};
+
 //! Connections accepted per wake-up; the rest wait for the next one.
 constexpr int kAcceptsPerWakeUp = 64;
 
@@ -46,6 +50,7 @@
 }
 
 void RelayServer::StopAccepting() {
+  loop_->Cancel(&resume_accepting_);
   if (fd_ >= 0) {
     loop_->Unwatch(fd_);
     close(fd_);
@@ -59,6 +64,7 @@
     if (fd < 0) {
       if (errno != EAGAIN && errno != EINTR) {
         metrics_->Count("accept_errors_total");
+        PauseAccepting();
       }
       return;
     }
@@ -73,6 +79,15 @@
   }
 }
 
+void RelayServer::PauseAccepting() {
+  // The connection stays in the queue, so the descriptor stays readable.
+  loop_->UpdateWatch(fd_, 0);
+  resume_accepting_ = loop_->After(kAcceptRetryInterval, [this] {
+    resume_accepting_ = {};
+    loop_->UpdateWatch(fd_, EPOLLIN);
+  });
+}
+
 void RelayServer::Tick() {
   std::vector<CallerConnection*> all;
   all.reserve(connections_.size());
--- a/src/transport/relay/relay_server.h
+++ b/src/transport/relay/relay_server.h
@@ -59,6 +59,7 @@
 
  private:
   void OnReady(uint32_t events) override;
+  void PauseAccepting();
   void Tick();
 
   EventLoop* loop_;
@@ -69,6 +70,7 @@
   CallerLimits limits_;
   bool draining_ = false;
   EventLoop::TimerId tick_{};
+  EventLoop::TimerId resume_accepting_{};
   std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>>
       connections_;
 };
--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -127,5 +127,35 @@
   close(*taken);
 }
 
+// Guards against a limit of open files that is below the settings and that
+// nothing raises or names.
+TEST_F(FrontProcessTest, RaisesTheLimitOfOpenFilesToItsSettings) {
+  rlimit limit{};
+  RunProcess(
+      [] {
+        const rlimit low{64, 4096};
+        setrlimit(RLIMIT_NOFILE, &low);
+      },
+      [&] {
+        prlimit(process_->pid(), RLIMIT_NOFILE, nullptr, &limit);
+        Finish();
+      });
+  EXPECT_TRUE(Served());
+  EXPECT_EQ(limit.rlim_cur, 1024U);
+  EXPECT_EQ(ReadLog().find("event=descriptor_limit"), std::string::npos);
+}
+
+TEST_F(FrontProcessTest, NamesALimitOfOpenFilesThatItCannotRaise) {
+  RunProcess(
+      [] {
+        const rlimit low{64, 64};
+        setrlimit(RLIMIT_NOFILE, &low);
+      },
+      [this] { Finish(); });
+  EXPECT_TRUE(Served());
+  EXPECT_NE(ReadLog().find("event=descriptor_limit settings=1024 process=64"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,8 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "protocol/http_reader.h"
+#include "support/caller.h"
 #include "support/loopback.h"
 #include "transport/event_log.h"
 #include "transport/event_loop.h"
@@ -42,6 +45,41 @@
   EXPECT_EQ(ran, (std::vector<int>{1, 2}));
 }
 
+// Guards against a busy loop while no descriptor is left for a new connection.
+TEST(RelayServerTest, PausesAcceptingWhileDescriptorsAreUsedUp) {
+  EventLoop loop;
+  Metrics metrics;
+  const auto [fd, address] = ListenOnFreePort();
+  RelayServer server(
+      &loop, fd, 16,
+      [](CallerConnection* connection, const CallerRequest&) {
+        return std::make_unique<FixedAnswerTask>(connection, 200, "");
+      },
+      &metrics);
+  Caller caller(&loop, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  rlimit before{};
+  ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &before), 0);
+  const int next_fd = dup(fd);
+  close(next_fd);
+  const rlimit used_up{static_cast<rlim_t>(next_fd), before.rlim_max};
+  ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &used_up), 0);
+  loop.After(Millis(500), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &before), 0);
+  EXPECT_FALSE(caller.finished());
+  int errors = 0;
+  const std::string text = metrics.Text();
+  const size_t at = text.find("accept_errors_total ");
+  ASSERT_NE(at, std::string::npos) << text;
+  ASSERT_TRUE(absl::SimpleAtoi(
+      text.substr(at + 20, text.find('\n', at) - at - 20), &errors));
+  EXPECT_GE(errors, 1);
+  EXPECT_LE(errors, 10);
+  loop.After(Millis(500), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(caller.status(), 200);
+}
+
 TEST(EventLogTest, FullPipeNeverBlocksAndDroppedLinesAreCounted) {
   EventLoop loop;
   int fds[2];
