--- a/src/transport/signal_pipe.cpp
+++ b/src/transport/signal_pipe.cpp
@@ -44,7 +44,7 @@
 
 SignalPipe::~SignalPipe() {
   for (const int it : {SIGTERM, SIGINT, SIGHUP}) {
-    std::signal(it, SIG_DFL);
+    std::signal(it, SIG_IGN);
   }
   loop_->Unwatch(fds_[0]);
   write_fd = -1;
--- a/src/transport/signal_pipe.h
+++ b/src/transport/signal_pipe.h
@@ -10,7 +10,8 @@
 class EventLoop;
 
 //! Turns SIGTERM, SIGINT and SIGHUP into callbacks on the loop's thread. At
-//! most one may exist in a process at a time.
+//! most one may exist in a process at a time. Later signals are ignored, so
+//! that they don't change how the process ends.
 class SignalPipe : private IoHandler {
  public:
   using Callback = std::function<void(int signal)>;
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 
+#include <csignal>
 #include <memory>
 #include <string>
 #include <utility>
@@ -27,6 +28,7 @@
 #include "transport/relay/fixed_answer_task.h"
 #include "transport/relay/http_fetch.h"
 #include "transport/relay/relay_server.h"
+#include "transport/signal_pipe.h"
 #include "transport/socket_address.h"
 
 namespace tamaracktrail {
@@ -45,6 +47,21 @@
   EXPECT_EQ(ran, (std::vector<int>{1, 2}));
 }
 
+// Guards against a signal during the exit of the process changing its result.
+TEST(SignalPipeTest, SignalsAfterItsEndDoNotEndTheProcess) {
+  EventLoop loop;
+  {
+    SignalPipe signals(&loop, [](int) {});
+  }
+  EXPECT_EXIT(
+      {
+        raise(SIGHUP);
+        raise(SIGTERM);
+        _exit(0);
+      },
+      testing::ExitedWithCode(0), "");
+}
+
 // Guards against a busy loop while no descriptor is left for a new connection.
 TEST(RelayServerTest, PausesAcceptingWhileDescriptorsAreUsedUp) {
   EventLoop loop;
