Open standard descriptors that the parent has closed

Cause: with standard input, output or error closed, the event loop's own descriptors got their numbers, and the log was written into them.

Evidence: FrontProcessTest.ClosedStandardDescriptorsAreNotReused failed before the fix: descriptor 1 was an eventfd, descriptor 2 the epoll set.

Why this works: /dev/null takes their place before anything else is opened.

--- a/src/cli/server_process.cpp
+++ b/src/cli/server_process.cpp
@@ -1,13 +1,31 @@
 #include "cli/server_process.h"
 
+#include <fcntl.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
 
 namespace tamaracktrail {
 
+namespace {
+
+//! Opens /dev/null in place of standard descriptors that the parent closed.
+//! Otherwise the next files and sockets get their numbers.
+void OpenStandardDescriptors() {
+  // An opened file gets the lowest free number.
+  for (const int it : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    if (fcntl(it, F_GETFD) < 0) {
+      open("/dev/null", it == STDIN_FILENO ? O_RDONLY : O_WRONLY);
+    }
+  }
+}
+
+}  // namespace
+
 void SetUpServerProcess() {
+  OpenStandardDescriptors();
   std::signal(SIGPIPE, SIG_IGN);
 }
 
--- a/src/cli/server_process.h
+++ b/src/cli/server_process.h
@@ -5,7 +5,8 @@
 
 //! Prepares the process of a command that serves until it is stopped, whatever
 //! it inherited from its parent: a write to a pipe or socket without a reader
-//! fails and does not end the process. Precondition: no other thread runs yet.
+//! fails and does not end the process, and standard input, output and error are
+//! open. Precondition: no other thread runs yet.
 void SetUpServerProcess();
 
 //! Raises the process's limit of open files to `wanted` as far as the system
--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -100,6 +100,21 @@
   EXPECT_TRUE(Served());
 }
 
+// Guards against log lines written into the event loop's descriptors.
+TEST_F(FrontProcessTest, ClosedStandardDescriptorsAreNotReused) {
+  RunProcess(
+      [] {
+        close(STDIN_FILENO);
+        close(STDOUT_FILENO);
+        close(STDERR_FILENO);
+      },
+      [this] { Finish(); });
+  EXPECT_TRUE(Served());
+  for (const int it : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    EXPECT_EQ(Target(it), "/dev/null");
+  }
+}
+
 // Guards against a process that ends by itself because another one has one of
 // its addresses for a while.
 TEST_F(FrontProcessTest, WaitsForAnAddressThatIsTaken) {
