Check lengths in peers' messages before memory is allocated for them

Cause: cereal resizes strings and vectors to the length that it reads.

Evidence: PeerGossipTest.LengthBeyondTheDatagramIsNotAllocated failed before the fix, the process grew by more than 64 MB.

Why this works: BoundedInputArchive reads the same format and throws if a length exceeds the bytes left. PeerExchange reads its records one by one.

--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -6,6 +6,7 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "protocol/bounded_input_archive.h"
 #include "transport/event_loop.h"
 #include "transport/log_line.h"
 #include "transport/relay/caller_request.h"
@@ -34,6 +35,20 @@
   return out.str();
 }
 
+//! Throws cereal::Exception if `bytes` are not the archive of records. Reads
+//! them one by one, so that no memory is reserved for records that don't
+//! follow.
+PeerExchange::Records Decode(const std::string& bytes) {
+  BoundedInputArchive archive(bytes);
+  cereal::size_type n = 0;
+  archive(cereal::make_size_tag(n));
+  PeerExchange::Records records;
+  for (cereal::size_type i = 0; i < n; ++i) {
+    archive(records.emplace_back());
+  }
+  return records;
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop* loop,
@@ -86,9 +101,7 @@
         Records records;
         if (answer.ok() && answer->status == 200) {
           try {
-            std::istringstream in(answer->body);
-            cereal::PortableBinaryInputArchive archive(in);
-            archive(records);
+            records = Decode(answer->body);
           } catch (const std::exception&) {
             records.clear();
           }
--- a/src/transport/peer_gossip.cpp
+++ b/src/transport/peer_gossip.cpp
@@ -14,6 +14,7 @@
 #include <sstream>
 #include <variant>
 
+#include "protocol/bounded_input_archive.h"
 #include "transport/socket_address.h"
 
 namespace tamaracktrail {
@@ -92,8 +93,7 @@
     }
     Datagram datagram;
     try {
-      std::istringstream in(std::string(buf.data(), static_cast<size_t>(n)));
-      cereal::PortableBinaryInputArchive archive(in);
+      BoundedInputArchive archive({buf.data(), static_cast<size_t>(n)});
       archive(datagram);
     } catch (const std::exception&) {
       // The datagram does not come from an instance of this release.
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -316,6 +316,42 @@
   EXPECT_EQ(std::get<TokenLoan>(messages[0]), loan);
 }
 
+//! A datagram of a report whose instance name is said to have `n` bytes.
+std::string ReportWithNameOf(uint64_t n) {
+  std::string bytes = {1, 0, 0, 0, 0};  // Byte order, and the kind of datagram.
+  for (const uint64_t it : {uint64_t{7}, n}) {
+    for (int shift = 0; shift < 64; shift += 8) {
+      bytes.push_back(static_cast<char>(it >> shift));
+    }
+  }
+  return bytes;
+}
+
+// Guards against a datagram of 21 bytes that makes the process allocate, and
+// fill, as much as it says.
+TEST(PeerGossipTest, LengthBeyondTheDatagramIsNotAllocated) {
+  const auto receive = [] {
+    EventLoop loop;
+    const std::string address = FreeAddress();
+    PeerGossip gossip(
+        &loop, *BindUdp(address), [](const auto&) {}, [](const auto&) {});
+    const int other = *BindUdp(FreeAddress());
+    const auto target = *ParseSocketAddress(address);
+    const std::string bytes = ReportWithNameOf(uint64_t{1} << 30);
+    sendto(other, bytes.data(), bytes.size(), 0,
+           reinterpret_cast<const sockaddr*>(&target), sizeof(target));
+    loop.After(Millis(100), [&] { loop.Quit(); });
+    rusage before{};
+    rusage after{};
+    getrusage(RUSAGE_SELF, &before);
+    loop.Run();
+    getrusage(RUSAGE_SELF, &after);
+    constexpr long kMaxGrowthKb = 64 * 1024;
+    _exit(after.ru_maxrss - before.ru_maxrss < kMaxGrowthKb ? 0 : 1);
+  };
+  EXPECT_EXIT(receive(), testing::ExitedWithCode(0), "");
+}
+
 //! Answers with pieces of a body, at an interval; ends the answer after the
 //! last one unless it is to stay open.
 class PiecesTask : public RequestTask {
