--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -12,9 +12,9 @@
 //! Parses "ip:port" with a numeric IPv4 address. Thread-safe.
 absl::StatusOr<sockaddr_in> ParseSocketAddress(const std::string& text);
 
-//! Opens a listening, non-blocking TCP socket. Errors: kAlreadyExists if another
-//! socket has the address, others if it cannot be parsed or bound. The caller
-//! owns the descriptor. Thread-safe.
+//! Opens a listening, non-blocking TCP socket. Errors: kAlreadyExists if
+//! another socket has the address, others if it cannot be parsed or bound. The
+//! caller owns the descriptor. Thread-safe.
 absl::StatusOr<int> ListenTcp(const std::string& address);
 
 //! Opens a bound, non-blocking UDP socket. Errors as for ListenTcp. The caller
