--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -58,6 +58,8 @@
   //! How the answer's end is recognised. Precondition: the answer has begun.
   BodyFraming answer_framing() const { return answer_framing_; }
   bool has_open_request() const { return task_ != nullptr; }
+  //! Whether bytes of an answer wait for the caller to read.
+  bool has_unsent_bytes() const { return stream_->pending_bytes() > 0; }
 
   //! Refuses a request whose head is late, and closes a connection that
   //! exceeded its timeout.
--- a/src/transport/relay/relay_server.cpp
+++ b/src/transport/relay/relay_server.cpp
@@ -106,6 +106,13 @@
       [](const auto& it) { return it.second->has_open_request(); }));
 }
 
+bool RelayServer::busy() const {
+  return std::any_of(
+      connections_.begin(), connections_.end(), [](const auto& it) {
+        return it.second->has_open_request() || it.second->has_unsent_bytes();
+      });
+}
+
 std::unique_ptr<RequestTask> RelayServer::MakeTask(CallerConnection* connection,
                                                    CallerRequest request) {
   return handler_(connection, std::move(request));
--- a/src/transport/relay/relay_server.h
+++ b/src/transport/relay/relay_server.h
@@ -44,6 +44,9 @@
 
   //! Number of requests in progress.
   size_t open_requests() const;
+  //! Whether a request is in progress, or bytes of an answer are not yet handed
+  //! to the kernel.
+  bool busy() const;
   size_t connections() const { return connections_.size(); }
 
   // Called by the connections:
--- a/tests/support/caller.h
+++ b/tests/support/caller.h
@@ -23,6 +23,9 @@
   //! reusable().
   void SendAnother(const std::string& request);
 
+  //! Stops or resumes reading the answer.
+  void PauseReading(bool pause) { stream_->PauseReading(pause); }
+
   //! Closes the sending side; the answer is still read.
   void ShutDownWriting() { stream_->ShutDownWriting(); }
 
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -98,6 +98,33 @@
   EXPECT_EQ(caller.status(), 200);
 }
 
+// Guards against an exit that discards the end of an answer which a slow caller
+// has not read yet.
+TEST(RelayServerTest, IsBusyUntilTheAnswerIsSent) {
+  EventLoop loop;
+  Metrics metrics;
+  const auto [fd, address] = ListenOnFreePort();
+  const std::string body(32 * 1024 * 1024, 'x');
+  RelayServer server(
+      &loop, fd, 16,
+      [&](CallerConnection* connection, const CallerRequest&) {
+        return std::make_unique<FixedAnswerTask>(connection, 200, body);
+      },
+      &metrics);
+  Caller caller(&loop, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  caller.PauseReading(true);
+  loop.After(Millis(300), [&] { loop.Quit(); });
+  loop.Run();
+  ASSERT_EQ(server.connections(), 1U);
+  EXPECT_EQ(server.open_requests(), 0U);
+  EXPECT_TRUE(server.busy());
+  caller.PauseReading(false);
+  loop.After(Millis(2000), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(caller.answer().body().size(), body.size());
+  EXPECT_FALSE(server.busy());
+}
+
 TEST(EventLogTest, FullPipeNeverBlocksAndDroppedLinesAreCounted) {
   EventLoop loop;
   int fds[2];
