Soak: an endpoint that crashes excuses the answers that it was giving

The logs show the cause: a request with the crashing part ended endpoint llm-5, whose connections to all four instances were reset in the same 4 ms; 0.2 s before, one of them had got its stop signal. That is allowed: the endpoint broke off.

The check counted other misbehaviour of endpoints, but not their crashes. Only calls that ran at an endpoint that has crashed are excused; all others are checked as before.

--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -136,6 +136,7 @@
     std::string service;
     int64_t sequence = 1;
     Millis draining_since;  //!< 0 if it never drained.
+    bool crashed = false;
     size_t checked_requests = 0;
     size_t checked_arrivals = 0;
     Millis limit_named_at;                      //!< 0 while it names none.
@@ -181,6 +182,7 @@
     it.stand_in->behaviour() = DefaultBehaviour();
     it.link = std::make_unique<FaultProxy>(&loop_, it.stand_in->address());
     it.stand_in->SetOnCrash([this, crashed = &it] {
+      crashed->crashed = true;
       crashed->link->SetMode(FaultProxy::Mode::kRefuse);
       ++report_.faults["crash"];
       loop_.After(kReplaceTime, [this, crashed] {
@@ -565,6 +567,15 @@
     loop_.After(kPollInterval, [this] { PollTick(); });
   }
 
+  //! An endpoint that crashes breaks off its answers, whatever the instance
+  //! does.
+  bool RanAtCrashedEndpoint(const std::string& id) const {
+    return std::any_of(endpoints_.begin(), endpoints_.end(),
+                       [&](const Endpoint& it) {
+                         return it.crashed && it.stand_in->RunCount(id) > 0;
+                       });
+  }
+
   void FinishCall(Call* call) {
     Caller& caller = *call->caller;
     const int status = caller.complete() ? caller.status() : 0;
@@ -575,6 +586,7 @@
       CheckAnswer(*call);
     } else if (status == 0 && it.stopping &&
                it.stop_requested_at > call->sent && !it.stop_disturbed &&
+               !RanAtCrashedEndpoint(call->id) &&
                loop_.Now() - endpoints_disturbed_at_ > kUndisturbedTime) {
       AddViolation("a graceful stop ended the connection of " + call->id);
     }
