--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -73,6 +73,12 @@
     return text.str();
   }
 
+  //! Calls `then` once the log of the process has `text`.
+  void AwaitLog(const std::string& text, const std::function<void()>& then) {
+    Await([=, this] { return ReadLog().find(text) != std::string::npos; },
+          then);
+  }
+
   std::string folder_;
   std::unique_ptr<InstanceProcess> process_;
   Caller* answered_ = nullptr;
@@ -120,7 +126,7 @@
 TEST_F(FrontProcessTest, WaitsForAnAddressThatIsTaken) {
   const auto taken = ListenTcp(settings_.health_address);
   ASSERT_TRUE(taken.ok());
-  loop_.After(Millis(700), [&] {
+  AwaitLog("event=address_taken", [&] {
     EXPECT_TRUE(process_->running());
     close(*taken);
   });
@@ -133,8 +139,11 @@
 TEST_F(FrontProcessTest, StopsWhileItWaitsForAnAddress) {
   const auto taken = ListenTcp(settings_.health_address);
   ASSERT_TRUE(taken.ok());
-  loop_.After(Millis(500), [this] { process_->Signal(SIGTERM); });
-  loop_.After(Millis(1000), [this] { loop_.Quit(); });
+  AwaitLog("event=address_taken", [this] {
+    process_->Signal(SIGTERM);
+    Await([this] { return !process_->running(); }, [this] { loop_.Quit(); });
+  });
+  loop_.After(Millis(8000), [this] { loop_.Quit(); });
   process_->Start();
   loop_.Run();
   EXPECT_FALSE(process_->running());
