--- a/src/coordination/attempt_rules.cpp
+++ b/src/coordination/attempt_rules.cpp
@@ -73,6 +73,13 @@
                                               : NextStep::kBadGateway;
 }
 
+bool LacksRetryBudget(const RequestProgress& progress, AttemptOutcome outcome) {
+  RequestProgress with_budget = progress;
+  with_budget.retry_allowed = true;
+  return StepAfterAttempt(with_budget, outcome) !=
+         StepAfterAttempt(progress, outcome);
+}
+
 NextStep StepAtTimeout(const RequestProgress& progress, bool attempt_open) {
   if (progress.caller_gone) {
     return NextStep::kDrop;
--- a/src/coordination/attempt_rules.h
+++ b/src/coordination/attempt_rules.h
@@ -12,6 +12,10 @@
 NextStep StepAfterAttempt(const RequestProgress& progress,
                           AttemptOutcome outcome);
 
+//! Whether nothing but the retry budget keeps the request from another attempt.
+//! Thread-safe.
+bool LacksRetryBudget(const RequestProgress& progress, AttemptOutcome outcome);
+
 //! Decides the next step when the request times out. `attempt_open`: an attempt
 //! is open; otherwise the request waits for one. Thread-safe.
 NextStep StepAtTimeout(const RequestProgress& progress, bool attempt_open);
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -21,6 +21,10 @@
     retries_ = std::min(retries_, burst_);
   }
 
+  //! Retries that are left, with fractions.
+  double left() const { return retries_; }
+  double burst() const { return burst_; }
+
   //! Whether `TakeRetry` would succeed.
   bool HasRetry() const { return retries_ >= 1; }
 
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -112,6 +112,8 @@
   std::map<uint64_t, std::unique_ptr<ConnectionProbe>> crash_checks;
   std::mt19937_64 random;
   int instances = 1;
+  //! Last successful read of the list of instances; 0 before the first.
+  Millis instances_listed_at;
   std::map<std::string, RetryBudget> retry_budgets;
   std::set<RelayTask*> waiting_for_share;
   //! During shutdown, no stream is admitted after `stream_admission_end`, and
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -388,6 +388,8 @@
   const NextStep step = StepAfterAttempt(progress, AttemptOutcome::kTimedOut);
   if (step == NextStep::kTryAnother || step == NextStep::kResume) {
     FinishAttempt(AttemptOutcome::kTimedOut, "no answer in time");
+  } else if (LacksRetryBudget(progress, AttemptOutcome::kTimedOut)) {
+    LogRetry(false);
   }
 }
 
@@ -457,7 +459,27 @@
   }
   ReportOutcome(outcome);
   call_.reset();
-  TakeStep(StepAfterAttempt(Progress(), outcome), outcome);
+  const RequestProgress progress = Progress();
+  if (LacksRetryBudget(progress, outcome)) {
+    LogRetry(false);
+  }
+  TakeStep(StepAfterAttempt(progress, outcome), outcome);
+}
+
+void RelayTask::LogRetry(bool taken) {
+  const RetryBudget& budget = context_->RetryBudgetFor(service_->name);
+  context_->metrics->Count(taken ? "retries_total" : "retries_refused_total");
+  LogLine(context_->log, taken ? "retry" : "retry_refused")
+      .Add("id", request_id_)
+      .Add("service", service_->name)
+      .Add("sends", sends_)
+      .Add("left", budget.left())
+      .Add("most", budget.burst())
+      .Add("instances", context_->instances)
+      .Add("list_age_ms", context_->instances_listed_at == Millis(0)
+                              ? Millis(-1)
+                              : context_->loop->Now() -
+                                    context_->instances_listed_at);
 }
 
 void RelayTask::ReportOutcome(AttemptOutcome outcome) {
@@ -495,7 +517,7 @@
     case NextStep::kResume:
       if (sends_ > 0) {
         context_->RetryBudgetFor(service_->name).TakeRetry();
-        context_->metrics->Count("retries_total");
+        LogRetry(true);
       }
       buffered_.clear();
       splitter_.Restart();
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -91,6 +91,8 @@
   void OnFirstByteTimeout();
   void FinishAttempt(AttemptOutcome outcome, const std::string& reason);
   void TakeStep(NextStep step, AttemptOutcome outcome);
+  //! Logs that a retry was taken from the budget, or that the budget lacks it.
+  void LogRetry(bool taken);
   RequestProgress Progress() const;
   void ReportOutcome(AttemptOutcome outcome);
 
--- a/tests/coordination/attempt_rules_test.cpp
+++ b/tests/coordination/attempt_rules_test.cpp
@@ -140,5 +140,21 @@
   EXPECT_EQ(StepAtTimeout(Start(CallKind::kUnsafe), false), NextStep::kRefuse);
 }
 
+TEST(LacksRetryBudgetTest, IsTrueOnlyIfTheBudgetAloneForbidsAnotherAttempt) {
+  RequestProgress progress;
+  progress.kind = CallKind::kSafe;
+  progress.max_attempts = 2;
+  progress.sends = 1;
+  progress.may_have_run = true;
+  progress.has_untried_endpoint = true;
+  progress.remaining = Millis(1000);
+  EXPECT_TRUE(LacksRetryBudget(progress, AttemptOutcome::kFailed));
+  progress.retry_allowed = true;
+  EXPECT_FALSE(LacksRetryBudget(progress, AttemptOutcome::kFailed));
+  progress.retry_allowed = false;
+  progress.has_untried_endpoint = false;
+  EXPECT_FALSE(LacksRetryBudget(progress, AttemptOutcome::kFailed));
+}
+
 }  // namespace
 }  // namespace tamaracktrail
