Start retry budgets empty: restarts no longer refill them

Callers saw nothing; endpoints got more retries than the fleet may send. A retry budget started with its whole burst, so each start of a process allowed the instance's part of the burst once more within the same 10 s.

A new budget now starts empty. Requests add retries from the start on; the burst is added once the window has passed since the start of the process, less what was taken by then. So what the processes of an instance take in any window is at most its part of the burst and what its requests earned, however often it starts. The same holds for the budget of the product's own interface.

The window is a setting (retries.window_s, 10 s).

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -27,6 +27,11 @@
 //! Upper limit of the accumulated retries that can be set.
 constexpr double kMaxRetryExtra = 1e6;
 
+//! Range of the time to which the retry limits apply, in seconds.
+constexpr double kMinRetryWindow = 0.1;
+constexpr double kDefaultRetryWindow = 10;
+constexpr double kMaxRetryWindow = 3600;
+
 std::string ReadAddress(IniReader* ini, const char* section, const char* key) {
   const std::string text = ini->String(section, key, true).value_or("");
   if (!text.empty() && !IsAddress(text)) {
@@ -62,8 +67,11 @@
       "limits", "file_descriptors", 1024, kMinDescriptors, kMaxDescriptors));
   settings.grace_period = Millis(ini.Integer(
       "limits", "grace_ms", kDefaultGraceMs, kMinGraceMs, kMaxGraceMs));
-  settings.retry_ratio = ini.Number("retries", "ratio", 0.2, 0, 1);
-  settings.retry_extra = ini.Number("retries", "extra", 0, 0, kMaxRetryExtra);
+  settings.retries.ratio = ini.Number("retries", "ratio", 0.2, 0, 1);
+  settings.retries.extra = ini.Number("retries", "extra", 0, 0, kMaxRetryExtra);
+  settings.retries.window = kSecond.Scaled(
+      ini.Number("retries", "window_s", kDefaultRetryWindow, kMinRetryWindow,
+                 kMaxRetryWindow));
   ini.RejectUnknownKeys();
   return settings;
 }
--- a/src/cli/relay_settings.h
+++ b/src/cli/relay_settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/retry_budgets.h"
 #include "protocol/setting_fault.h"
 #include "state/millis.h"
 
@@ -22,10 +23,7 @@
   int store_reads_per_s = 2000;  //!< Reading calls of all instances together.
   int store_writes_per_s = 800;  //!< Writing calls of all instances together.
   int file_descriptors = 1024;
-  double retry_ratio = 0.2;  //!< Retries per request, over all instances.
-  //! Limit of the accumulated retries per service, over all instances; see
-  //! RetryBudget.
-  double retry_extra = 0;
+  RetryBudgets::Limits retries;
   //! From the stop signal until the platform kills the process.
   Millis grace_period;
 
--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -5,16 +5,29 @@
 
 namespace tamaracktrail {
 
-//! Limits retries to a fraction of the requests, so that retries cannot amplify
-//! an overload. Not thread-safe.
+//! Limits retries to a fraction of the requests and a burst, so that retries
+//! cannot amplify an overload.
+//!
+//! A budget does not know what an earlier process of the instance took. So it
+//! starts empty: requests add retries at once, the burst is added when retries
+//! from before the start no longer count. Restarts therefore never allow more
+//! retries. Not thread-safe.
 class RetryBudget {
  public:
   //! Each request adds `ratio` retries; at most `burst` are accumulated.
-  RetryBudget(double ratio, double burst)
-      : ratio_(ratio), burst_(burst), retries_(burst) {}
+  RetryBudget(double ratio, double burst) : ratio_(ratio), burst_(burst) {}
 
   void OnRequest() { retries_ = std::min(burst_, retries_ + ratio_); }
 
+  //! Adds the burst, less what was taken so far. Only the first call has an
+  //! effect.
+  void AddBurst() {
+    if (!burst_added_) {
+      burst_added_ = true;
+      retries_ = std::max(retries_, burst_ - taken_);
+    }
+  }
+
   //! Sets the limit of accumulated retries.
   void SetBurst(double burst) {
     burst_ = burst;
@@ -34,13 +47,16 @@
       return false;
     }
     retries_ -= 1;
+    taken_ += 1;
     return true;
   }
 
  private:
   double ratio_;
   double burst_;
-  double retries_;
+  double retries_ = 0;
+  double taken_ = 0;  //!< Since the start.
+  bool burst_added_ = false;
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/entry_calls.cpp
+++ b/src/transport/entry_calls.cpp
@@ -22,6 +22,9 @@
 
 constexpr int kHttpOk = 200;
 
+//! Retries of an earlier process no longer count after this time.
+constexpr Millis kRetryWindow{10000};
+
 }  // namespace
 
 EntryCalls::EntryCalls(const EntryLimits& limits,
@@ -36,6 +39,7 @@
       metrics_(metrics),
       queue_(AdmissionQueue::Options{limits.queue_length,
                                      limits.queue_per_organisation}),
+      started_at_(MonotonicNow()),
       retry_budget_(limits.retry_ratio, limits.retry_burst) {}
 
 EntryCalls::~EntryCalls() = default;
@@ -444,6 +448,9 @@
 }
 
 void EntryCalls::OnTick(Millis now) {
+  if (now - started_at_ >= kRetryWindow) {
+    retry_budget_.AddBurst();
+  }
   for (const AdmissionQueue::Item& it : queue_.TakeExpired(now)) {
     if (EntryCall* call = Find(it.id)) {
       Perform(*call, call->flow->Refuse(ResultCode::kDeadlineExceeded));
--- a/src/transport/entry_calls.h
+++ b/src/transport/entry_calls.h
@@ -105,6 +105,7 @@
   HttpClient* http_ = nullptr;
   EndpointProber* prober_ = nullptr;
   AdmissionQueue queue_;
+  Millis started_at_;
   RetryBudget retry_budget_;
   AffinityChoice endpoint_choice_;
   std::map<uint64_t, std::unique_ptr<EntryCall>> calls_;  //!< By attempt.
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -17,10 +17,6 @@
 //! Prompt prefixes in the index: 2 MB at 100 bytes each.
 constexpr size_t kPrefixIndexCapacity = 20000;
 
-//! Fraction of the fleet's retry budget that is used. The rest allows for
-//! instances that have started and that the others do not count yet.
-constexpr double kRetryBudgetFraction = 0.8;
-
 //! Time over which the demand for endpoints with limits is averaged.
 constexpr Millis kDemandTime{3000};
 
@@ -55,7 +51,8 @@
            [this](uint64_t endpoint) {
              crashes.OnEndpointDown(loop->Now(), endpoint);
            }),
-      random(options.incarnation) {}
+      random(options.incarnation),
+      retry_budgets(event_loop->Now(), options.retries) {}
 
 RelayContext::~RelayContext() = default;
 
@@ -67,21 +64,7 @@
 void RelayContext::SetInstances(int n) {
   instances = std::max(1, n);
   shares.SetInstances(instances);
-  for (auto& [service, budget] : retry_budgets) {
-    budget.SetBurst(options.retry_extra * kRetryBudgetFraction / instances);
-  }
-}
-
-RetryBudget& RelayContext::RetryBudgetFor(const std::string& service) {
-  const auto it = retry_budgets.find(service);
-  if (it != retry_budgets.end()) {
-    return it->second;
-  }
-  return retry_budgets
-      .emplace(service, RetryBudget(options.retry_ratio * kRetryBudgetFraction,
-                                    options.retry_extra * kRetryBudgetFraction /
-                                        instances))
-      .first->second;
+  retry_budgets.SetInstances(instances);
 }
 
 void RelayContext::OnSharesChanged(ShareEvent event) {
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -16,7 +16,7 @@
 #include "coordination/placement.h"
 #include "coordination/prefix_cache_index.h"
 #include "coordination/rate_meter.h"
-#include "coordination/retry_budget.h"
+#include "coordination/retry_budgets.h"
 #include "coordination/share_outage.h"
 #include "coordination/token_lending.h"
 #include "protocol/call_dialect.h"
@@ -42,9 +42,7 @@
     uint64_t incarnation = 0;
     std::string boot;           //!< Identifies the boot of the machine.
     std::string peers_address;  //!< Where peers reach this instance.
-    double retry_ratio = 0.2;   //!< Retries per request, over all instances.
-    //! Limit of the accumulated retries per service, over all instances.
-    double retry_extra = 0;
+    RetryBudgets::Limits retries;
   };
 
   //! Precondition: loop, log and metrics outlive the context.
@@ -64,10 +62,6 @@
   //! Sets the number of instances that share the budgets and the retry budget.
   void SetInstances(int n);
 
-  //! This instance's part of the retry budget of a service; created on first
-  //! use.
-  RetryBudget& RetryBudgetFor(const std::string& service);
-
   //! Shares may have grown, by a poll of the budget records or by a loan, or an
   //! attempt to borrow has ended: requests that wait for a share try to reserve
   //! again, in their `wait_order`.
@@ -114,7 +108,7 @@
   int instances = 1;
   //! Last successful read of the list of instances; 0 before the first.
   Millis instances_listed_at;
-  std::map<std::string, RetryBudget> retry_budgets;
+  RetryBudgets retry_budgets;
   std::set<RelayTask*> waiting_for_share;
   //! During shutdown, no stream is admitted after `stream_admission_end`, and
   //! all answers have to be complete by `exit_deadline`. Both are 0 before the
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -405,7 +405,7 @@
   progress.may_have_run = may_have_run_;
   progress.head_sent = head_sent_;
   progress.event_sent = splitter_.event_count() > 0;
-  progress.retry_allowed = context_->RetryBudgetFor(service_->name).HasRetry();
+  progress.retry_allowed = Retries().HasRetry();
   const CrashSuspects& suspects = context_->crashes.suspects();
   progress.crashes_endpoints =
       !cleared_of_crashes_ &&
@@ -466,8 +466,12 @@
   TakeStep(StepAfterAttempt(progress, outcome), outcome);
 }
 
+RetryBudget& RelayTask::Retries() const {
+  return context_->retry_budgets.For(context_->loop->Now(), service_->name);
+}
+
 void RelayTask::LogRetry(bool taken) {
-  const RetryBudget& budget = context_->RetryBudgetFor(service_->name);
+  const RetryBudget& budget = Retries();
   context_->metrics->Count(taken ? "retries_total" : "retries_refused_total");
   LogLine(context_->log, taken ? "retry" : "retry_refused")
       .Add("id", request_id_)
@@ -516,7 +520,7 @@
     case NextStep::kTryAnother:
     case NextStep::kResume:
       if (sends_ > 0) {
-        context_->RetryBudgetFor(service_->name).TakeRetry();
+        CHECK(Retries().TakeRetry()) << "event=retry_without_budget";
         LogRetry(true);
       }
       buffered_.clear();
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -29,6 +29,7 @@
 namespace tamaracktrail {
 
 class CallerConnection;
+class RetryBudget;
 class RoutingConfig;
 struct Organisation;
 struct RelayContext;
@@ -91,6 +92,8 @@
   void OnFirstByteTimeout();
   void FinishAttempt(AttemptOutcome outcome, const std::string& reason);
   void TakeStep(NextStep step, AttemptOutcome outcome);
+  //! The retry budget of the request's service.
+  RetryBudget& Retries() const;
   //! Logs that a retry was taken from the budget, or that the budget lacks it.
   void LogRetry(bool taken);
   RequestProgress Progress() const;
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -97,7 +97,7 @@
     RefuseWithRetryAfter("no_service", kNoEndpointRetryAfter);
     return false;
   }
-  context_->RetryBudgetFor(service_->name).OnRequest();
+  Retries().OnRequest();
   prompt_ = context_->dialect.parse_prompt(request_.fields);
   if (prompt_) {
     prefix_hashes_ = PrefixCacheIndex::HashPrefixes(prompt_->parts);
--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -58,7 +58,8 @@
   EXPECT_EQ(settings.store_reads_per_s, 6000);
   EXPECT_EQ(settings.store_writes_per_s, 800);
   EXPECT_EQ(settings.grace_period, Millis(8000));
-  EXPECT_EQ(settings.retry_extra, 56);
+  EXPECT_EQ(settings.retries.extra, 56);
+  EXPECT_EQ(settings.retries.window, Millis(10000));
 }
 
 }  // namespace
--- a/tests/coordination/request_flow_test.cpp
+++ b/tests/coordination/request_flow_test.cpp
@@ -52,7 +52,11 @@
     return nullptr;
   }
 
-  RetryBudget retries_{0.1, 10};
+  RetryBudget retries_ = [] {
+    RetryBudget budget(0.1, 10);
+    budget.AddBurst();
+    return budget;
+  }();
   Millis now_{0};
 };
 
--- a/tests/platform/front_fixture.h
+++ b/tests/platform/front_fixture.h
@@ -37,8 +37,9 @@
     settings_.metrics_address = FreeAddress();
     settings_.store_address = store_.address();
     settings_.file_descriptors = 1024;
-    settings_.retry_ratio = 0.2;
-    settings_.retry_extra = 50;
+    // Retries of an earlier process count for 10 ms only, so that tests need
+    // not wait.
+    settings_.retries = {0.2, 50, Millis(10)};
     settings_.grace_period = Millis(4000);
     PutConfig(1, 1000000);
     for (StandInEndpoint* it : {&a_, &b_}) {
