Divide the retry budget by the instances that may run, not by those known

Endpoints could get more retries than the fleet may send. An instance that had not read the list of instances counted itself alone and had the burst of the whole fleet; instances with an old list kept their parts when others were added; new ones used theirs at once; and a shorter list, from an older copy of the store, raised all parts.

FleetPart now says which part of a limit an instance may use: none without a list; a quarter while its list is older than 20 s, or until the others have read its entry; the number of instances never falls. Reports tell peers the number and the age of the list. An instance registers after its first listing, which shows whether an earlier process of it ran. The parts add up to 1.25 at most while a fleet grows, and four fifths of the limit are divided.

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -58,6 +58,7 @@
   settings.health_address = ReadAddress(&ini, "listen", "health");
   settings.peers_address = ReadAddress(&ini, "listen", "peers");
   settings.metrics_address = ReadAddress(&ini, "listen", "metrics");
+  settings.first_start = ini.Integer("instance", "first_start", 0, 0, 1) == 1;
   settings.store_address = ReadAddress(&ini, "store", "address");
   settings.store_reads_per_s = static_cast<int>(
       ini.Integer("store", "reads_per_s", kDefaultReadsPerS, 1, kMaxCallsPerS));
@@ -69,9 +70,9 @@
       "limits", "grace_ms", kDefaultGraceMs, kMinGraceMs, kMaxGraceMs));
   settings.retries.ratio = ini.Number("retries", "ratio", 0.2, 0, 1);
   settings.retries.extra = ini.Number("retries", "extra", 0, 0, kMaxRetryExtra);
-  settings.retries.window = kSecond.Scaled(
-      ini.Number("retries", "window_s", kDefaultRetryWindow, kMinRetryWindow,
-                 kMaxRetryWindow));
+  settings.retries.window =
+      kSecond.Scaled(ini.Number("retries", "window_s", kDefaultRetryWindow,
+                                kMinRetryWindow, kMaxRetryWindow));
   ini.RejectUnknownKeys();
   return settings;
 }
--- a/src/cli/relay_settings.h
+++ b/src/cli/relay_settings.h
@@ -24,6 +24,7 @@
   int store_writes_per_s = 800;  //!< Writing calls of all instances together.
   int file_descriptors = 1024;
   RetryBudgets::Limits retries;
+  bool first_start = false;  //!< The whole fleet starts for the first time.
   //! From the stop signal until the platform kills the process.
   Millis grace_period;
 
--- a/src/coordination/retry_budgets.cpp
+++ b/src/coordination/retry_budgets.cpp
@@ -1,37 +1,23 @@
 #include "coordination/retry_budgets.h"
 
+#include "coordination/fleet_part.h"
+
 namespace tamaracktrail {
 
 namespace {
 
-//! Fraction of the fleet's limits that is used. The rest allows for instances
-//! that have started and that the others do not count yet.
+//! Fraction of the limits that is used. The parts of all instances add up to
+//! 1.25 while instances are added that others do not count yet; see FleetPart.
 constexpr double kUsedFraction = 0.8;
 
 }  // namespace
 
-double RetryBudgets::Burst() const {
-  return limits_.extra * kUsedFraction / instances_;
-}
-
-void RetryBudgets::SetInstances(int instances) {
-  instances_ = instances;
-  for (auto& [service, budget] : budgets_) {
-    budget.SetBurst(Burst());
-  }
-}
-
-void RetryBudgets::SetLimits(Limits limits) {
-  limits_ = limits;
-  SetInstances(instances_);
-}
-
 RetryBudget& RetryBudgets::For(Millis now, const std::string& service) {
   RetryBudget& budget =
-      budgets_
-          .try_emplace(service, limits_.ratio * kUsedFraction, Burst())
+      budgets_.try_emplace(service, limits_.ratio * kUsedFraction, 0)
           .first->second;
-  if (now - started_at_ >= limits_.window) {
+  budget.SetBurst(limits_.extra * kUsedFraction * part_->Fraction(now));
+  if (part_->MayUseAtOnce(now)) {
     budget.AddBurst();
   }
   return budget;
--- a/src/coordination/retry_budgets.h
+++ b/src/coordination/retry_budgets.h
@@ -9,6 +9,8 @@
 
 namespace tamaracktrail {
 
+class FleetPart;
+
 //! This instance's parts of the fleet's retry budgets, one for each service.
 //! Not thread-safe.
 class RetryBudgets {
@@ -23,16 +25,12 @@
     friend bool operator==(const Limits&, const Limits&) = default;
   };
 
-  //! `started_at`: start of the process.
-  RetryBudgets(Millis started_at, Limits limits)
-      : started_at_(started_at), limits_(limits) {}
-
-  //! Sets the number of instances among which the limits are divided.
-  //! Precondition: it is positive.
-  void SetInstances(int instances);
+  //! Precondition: `part` outlives this object.
+  RetryBudgets(const FleetPart* part, Limits limits)
+      : part_(part), limits_(limits) {}
 
   //! Applies limits that have changed to all budgets.
-  void SetLimits(Limits limits);
+  void SetLimits(Limits limits) { limits_ = limits; }
 
   //! The budget of a service; created on first use.
   RetryBudget& For(Millis now, const std::string& service);
@@ -40,11 +38,8 @@
   const std::map<std::string, RetryBudget>& all() const { return budgets_; }
 
  private:
-  double Burst() const;
-
-  Millis started_at_;
+  const FleetPart* part_;
   Limits limits_;
-  int instances_ = 1;
   std::map<std::string, RetryBudget> budgets_;
 };
 
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -34,6 +34,9 @@
     //! Time since the sender's endpoint directory was last known to be
     //! complete.
     int64_t directory_age_ms = 0;
+    int32_t instances = 0;  //!< That the sender knows of; 0 without a list.
+    //! Time since the sender's list of instances was current.
+    int64_t instances_age_ms = 0;
     std::string address;  //!< The sender's address for PeerExchange.
     //! The sender's own load on each endpoint, by the hash of the endpoint's
     //! incarnation.
@@ -43,10 +46,11 @@
     std::vector<ReportedLimit> limits;
     std::vector<LendableHint> lendable;
 
-    //! Whether the reports agree in configuration version, loads, crashes and
-    //! limits but for their age; the other fields are not compared.
+    //! Whether the reports agree in configuration version, instances, loads,
+    //! crashes and limits but for their age; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
-      return config_version == other.config_version && loads == other.loads &&
+      return config_version == other.config_version &&
+             instances == other.instances && loads == other.loads &&
              crashes == other.crashes &&
              std::equal(limits.begin(), limits.end(), other.limits.begin(),
                         other.limits.end(),
@@ -60,8 +64,9 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(incarnation, instance, config_version, directory_age_ms, address,
-              loads, crashes, limits, lendable);
+      archive(incarnation, instance, config_version, directory_age_ms,
+              instances, instances_age_ms, address, loads, crashes, limits,
+              lendable);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -52,7 +52,10 @@
              crashes.OnEndpointDown(loop->Now(), endpoint);
            }),
       random(options.incarnation),
-      retry_budgets(event_loop->Now(), options.retries) {}
+      fleet_part(event_loop->Now(),
+                 options.retries.window,
+                 options.first_start),
+      retry_budgets(&fleet_part, options.retries) {}
 
 RelayContext::~RelayContext() = default;
 
@@ -64,7 +67,6 @@
 void RelayContext::SetInstances(int n) {
   instances = std::max(1, n);
   shares.SetInstances(instances);
-  retry_budgets.SetInstances(instances);
 }
 
 void RelayContext::OnSharesChanged(ShareEvent event) {
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -12,6 +12,7 @@
 #include "coordination/budget_shares.h"
 #include "coordination/crash_guard.h"
 #include "coordination/endpoint_registry.h"
+#include "coordination/fleet_part.h"
 #include "coordination/link_congestion.h"
 #include "coordination/placement.h"
 #include "coordination/prefix_cache_index.h"
@@ -43,6 +44,7 @@
     std::string boot;           //!< Identifies the boot of the machine.
     std::string peers_address;  //!< Where peers reach this instance.
     RetryBudgets::Limits retries;
+    bool first_start = false;  //!< No instance of the fleet has run before.
   };
 
   //! Precondition: loop, log and metrics outlive the context.
@@ -59,7 +61,7 @@
   //! Whether callers are sent to other instances.
   bool DivertsCallers() const { return outage.active() || congestion.active(); }
 
-  //! Sets the number of instances that share the budgets and the retry budget.
+  //! Sets the number of instances that share the budgets.
   void SetInstances(int n);
 
   //! Shares may have grown, by a poll of the budget records or by a loan, or an
@@ -106,8 +108,7 @@
   std::map<uint64_t, std::unique_ptr<ConnectionProbe>> crash_checks;
   std::mt19937_64 random;
   int instances = 1;
-  //! Last successful read of the list of instances; 0 before the first.
-  Millis instances_listed_at;
+  FleetPart fleet_part;
   RetryBudgets retry_budgets;
   std::set<RelayTask*> waiting_for_share;
   //! During shutdown, no stream is admitted after `stream_admission_end`, and
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -472,6 +472,7 @@
 
 void RelayTask::LogRetry(bool taken) {
   const RetryBudget& budget = Retries();
+  const FleetPart& part = context_->fleet_part;
   context_->metrics->Count(taken ? "retries_total" : "retries_refused_total");
   LogLine(context_->log, taken ? "retry" : "retry_refused")
       .Add("id", request_id_)
@@ -479,11 +480,9 @@
       .Add("sends", sends_)
       .Add("left", budget.left())
       .Add("most", budget.burst())
-      .Add("instances", context_->instances)
-      .Add("list_age_ms", context_->instances_listed_at == Millis(0)
-                              ? Millis(-1)
-                              : context_->loop->Now() -
-                                    context_->instances_listed_at);
+      .Add("instances", part.instances().value_or(0))
+      .Add("list_age_ms",
+           part.AgeOfCount(context_->loop->Now()).value_or(Millis(-1)));
 }
 
 void RelayTask::ReportOutcome(AttemptOutcome outcome) {
--- a/tests/platform/front_fixture.h
+++ b/tests/platform/front_fixture.h
@@ -37,9 +37,11 @@
     settings_.metrics_address = FreeAddress();
     settings_.store_address = store_.address();
     settings_.file_descriptors = 1024;
-    // Retries of an earlier process count for 10 ms only, so that tests need
-    // not wait.
-    settings_.retries = {0.2, 50, Millis(10)};
+    // The instance ran before, and retries of its earlier process do not count,
+    // so that tests need not wait for its part of the retry budget.
+    settings_.retries = {0.2, 50, Millis(0)};
+    store_.Put(platform::kInstanceTopic, settings_.instance,
+               absl::StrCat(settings_.peers_address, " dc-1"));
     settings_.grace_period = Millis(4000);
     PutConfig(1, 1000000);
     for (StandInEndpoint* it : {&a_, &b_}) {
--- a/tests/platform/retry_limit_test.cpp
+++ b/tests/platform/retry_limit_test.cpp
@@ -2,6 +2,7 @@
 #include <signal.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "platform/front_fixture.h"
 #include "platform/wire_names.h"
 #include "soak/instance_process.h"
 #include "support/caller.h"
@@ -120,5 +122,44 @@
   EXPECT_GT(Retries(), 10U);
 }
 
+class RetryPartTest : public FrontTest {
+ protected:
+  //! Sends safe requests, which both endpoints fail. Returns how many were sent
+  //! to a second endpoint.
+  size_t CountRetries(int requests) {
+    a_.behaviour().fail = true;
+    b_.behaviour().fail = true;
+    Run([&] {
+      for (int i = 0; i < requests; ++i) {
+        Send(SampleRequest("safe", absl::StrCat("id-", i)));
+      }
+      Await(
+          [&] {
+            return std::all_of(callers_.begin(), callers_.end(),
+                               [](const auto& it) { return it->finished(); });
+          },
+          [] { Stop(); });
+    });
+    return a_.arrivals().size() + b_.arrivals().size() - callers_.size();
+  }
+};
+
+TEST_F(RetryPartTest, InstanceTakesItsPartOfTheBurst) {
+  EXPECT_GE(CountRetries(30), 29U);
+}
+
+// Guards against an instance that could not read the list of instances taking
+// the burst of the whole fleet.
+TEST_F(RetryPartTest, InstanceWithoutTheListOfInstancesTakesNoRetries) {
+  store_.faults().refuse_topic = platform::kInstanceTopic;
+  EXPECT_EQ(CountRetries(30), 0U);
+}
+
+// Guards against a fleet that grows having two bursts.
+TEST_F(RetryPartTest, NewInstanceTakesNoBurstBeforeTheOthersCountIt) {
+  store_.Put(platform::kInstanceTopic, settings_.instance, "");
+  EXPECT_LE(CountRetries(30), 30 * 0.2);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/support/stand_in_store.cpp
+++ b/tests/support/stand_in_store.cpp
@@ -64,7 +64,9 @@
 
  private:
   void Run() {
-    if (store_->faults_.refuse) {
+    if (store_->faults_.refuse ||
+        (!store_->faults_.refuse_topic.empty() &&
+         query_["topic"] == store_->faults_.refuse_topic)) {
       Reply({503, ""});
       return;
     }
--- a/tests/support/stand_in_store.h
+++ b/tests/support/stand_in_store.h
@@ -24,6 +24,7 @@
   //! Faults of calls; they can be combined.
   struct Faults {
     bool refuse = false;        //!< Answers 503 without effect.
+    std::string refuse_topic;   //!< The same for calls of this topic only.
     bool unresponsive = false;  //!< No answer and no effect.
     bool lose_append_answers =
         false;            //!< Appends take effect and get no answer.
