Apply a reloaded retry ratio to budgets in use

After a reload with a lower retries.ratio, an instance went on with the old one: the ratio was set when a service's budget was made, and only the burst changed.

--- a/src/coordination/retry_budget.h
+++ b/src/coordination/retry_budget.h
@@ -28,6 +28,9 @@
     }
   }
 
+  //! Sets the retries that each request adds.
+  void SetRatio(double ratio) { ratio_ = ratio; }
+
   //! Sets the limit of accumulated retries.
   void SetBurst(double burst) {
     burst_ = burst;
--- a/src/coordination/retry_budgets.cpp
+++ b/src/coordination/retry_budgets.cpp
@@ -13,9 +13,8 @@
 }  // namespace
 
 RetryBudget& RetryBudgets::For(Millis now, const std::string& service) {
-  RetryBudget& budget =
-      budgets_.try_emplace(service, limits_.ratio * kUsedFraction, 0)
-          .first->second;
+  RetryBudget& budget = budgets_.try_emplace(service, 0, 0).first->second;
+  budget.SetRatio(limits_.ratio * kUsedFraction);
   budget.SetBurst(limits_.extra * kUsedFraction * part_->Fraction(now));
   if (part_->MayUseAtOnce(now)) {
     budget.AddBurst();
--- a/tests/coordination/retry_budgets_test.cpp
+++ b/tests/coordination/retry_budgets_test.cpp
@@ -73,5 +73,19 @@
   EXPECT_EQ(TakeAll(&budgets.For(kWindow * 10, "app")), 0);
 }
 
+// Guards against a reload that changes the burst alone.
+TEST(RetryBudgetsTest, NewLimitsApplyToBudgetsInUse) {
+  const FleetPart part = WholePart(Millis(0));
+  RetryBudgets budgets(&part, kLimits);
+  budgets.For(Millis(0), "app").OnRequest();
+  EXPECT_EQ(TakeAll(&budgets.For(Millis(0), "app")), 0);
+  budgets.SetLimits({0.1, 25, kWindow});
+  for (int i = 0; i < 100; ++i) {
+    budgets.For(Millis(1), "app").OnRequest();
+  }
+  EXPECT_EQ(TakeAll(&budgets.For(Millis(1), "app")), 8);
+  EXPECT_EQ(TakeAll(&budgets.For(kWindow, "app")), 12);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
