Send nothing to an endpoint that refused with Retry-After until the time ends

An endpoint that refuses at once has nothing open, so it looked idle and drew the load; its Retry-After was not read. Callers were refused while the other endpoints were free, and the endpoint got every request that it had asked not to get.

EndpointWaits keeps what each endpoint asked this instance for; placement, second tries, resumed streams and sources of a prefix leave it out. After the wait the rate grows from one request a second, twofold each second, at different times at different instances. If no endpoint of a service takes a request it is refused at once with the time to the next room. A date, a negative number or several fields change nothing; ten minutes at most are kept. EndpointNotices joins waits and limits, which the registry asks.

--- a/src/coordination/endpoint_limits.cpp
+++ b/src/coordination/endpoint_limits.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "coordination/rendezvous.h"
+#include "coordination/token_bucket.h"
 #include "state/digest.h"
 
 namespace tamaracktrail {
@@ -22,20 +23,14 @@
 //! Without any request it could not say that the limit has ended.
 constexpr double kMinPerSecond = 0.05;
 
-//! Share of a second in which an instance may send the requests of a second.
-constexpr double kBurstSeconds = 0.1;
-
 //! Without news of a limit for this time, instances that send nothing may have
 //! missed its end. Together they then send this fraction of it.
 constexpr Millis kMaxNewsAge{15000};
 constexpr double kStaleFraction = 0.1;
 
 //! After the end of a limit the rate of each instance grows from its part of
-//! the limit, but at least from this, twofold in this time, until it no longer
-//! matters.
+//! the limit, but at least from this.
 constexpr double kMinReturnPerSecond = 0.1;
-constexpr Millis kReturnDoubling{1000};
-constexpr double kUnlimitedPerSecond = 50;
 
 //! News are reported to the peers for this time, for those that were cut off.
 constexpr Millis kReportTime{30000};
@@ -175,19 +170,12 @@
     return now - limit.heard_at > kMaxNewsAge ? limit.stale_rate
                                               : limit.own_rate;
   }
-  return limit.own_rate *
-         std::exp2(static_cast<double>((now - limit.ended_at).count()) /
-                   static_cast<double>(kReturnDoubling.count()));
+  return ReturnRate(limit.own_rate, now - limit.ended_at);
 }
 
 double EndpointLimits::TokensOf(Millis now, const Limit& limit) {
-  // While a rate grows, the mean of its values at both ends is close enough.
-  const double rate =
-      (RateOf(limit.updated_at, limit) + RateOf(now, limit)) / 2;
-  const double elapsed_s =
-      static_cast<double>((now - limit.updated_at).count()) / 1000;
-  return std::min(limit.tokens + rate * elapsed_s,
-                  std::max(1.0, rate * kBurstSeconds));
+  return RefillBucket(limit.tokens, RateOf(limit.updated_at, limit),
+                      RateOf(now, limit), now - limit.updated_at);
 }
 
 bool EndpointLimits::MaySend(Millis now, uint64_t endpoint) const {
--- /dev/null
+++ b/src/coordination/endpoint_notices.h
@@ -0,0 +1,72 @@
+#ifndef COORDINATION_ENDPOINT_NOTICES_H_
+#define COORDINATION_ENDPOINT_NOTICES_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+
+#include "coordination/endpoint_limits.h"
+#include "coordination/endpoint_waits.h"
+#include "state/millis.h"
+
+namespace tamaracktrail {
+
+//! What endpoints say in their answers of the requests that they take.
+//! Endpoints are named by the hash of their incarnation. Not thread-safe.
+class EndpointNotices {
+ public:
+  EndpointLimits& limits() { return limits_; }
+  const EndpointLimits& limits() const { return limits_; }
+  EndpointWaits& waits() { return waits_; }
+  const EndpointWaits& waits() const { return waits_; }
+
+  //! Whether the endpoint takes fewer requests than this instance has.
+  bool IsRestricted(Millis now, uint64_t endpoint) const {
+    return limits_.IsLimited(endpoint) || waits_.IsRestricted(now, endpoint);
+  }
+
+  //! Whether a request may be sent to the endpoint now.
+  bool MaySend(Millis now, uint64_t endpoint) const {
+    return limits_.MaySend(now, endpoint) && waits_.MaySend(now, endpoint);
+  }
+
+  //! Requests a second that this instance may send; infinite without a
+  //! restriction.
+  double RatePerSecond(Millis now, uint64_t endpoint) const {
+    return std::min(limits_.OwnRate(endpoint),
+                    waits_.RatePerSecond(now, endpoint));
+  }
+
+  //! Returns the time until a request may be sent; nullopt if this instance
+  //! sends nothing there.
+  std::optional<Millis> TimeToNext(Millis now, uint64_t endpoint) const {
+    const auto limit = limits_.TimeToNext(now, endpoint);
+    return limit ? std::max(*limit, waits_.TimeToNext(now, endpoint)) : limit;
+  }
+
+  //! A request is sent to the endpoint.
+  void OnSent(Millis now, uint64_t endpoint) {
+    limits_.OnSent(now, endpoint);
+    waits_.OnSent(now, endpoint);
+  }
+
+  //! The endpoint is gone.
+  void Forget(uint64_t endpoint) {
+    limits_.Forget(endpoint);
+    waits_.Forget(endpoint);
+  }
+
+  //! Drops expired state.
+  void OnTick(Millis now) {
+    limits_.OnTick(now);
+    waits_.OnTick(now);
+  }
+
+ private:
+  EndpointLimits limits_;
+  EndpointWaits waits_;
+};
+
+}  // namespace tamaracktrail
+
+#endif  // COORDINATION_ENDPOINT_NOTICES_H_
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -147,7 +147,7 @@
 void EndpointRegistry::Erase(const std::string& id) {
   const auto it = endpoints_.find(id);
   by_hash_.erase(it->second.incarnation_hash);
-  limits_.Forget(it->second.incarnation_hash);
+  notices_.Forget(it->second.incarnation_hash);
   endpoints_.erase(it);
 }
 
@@ -159,7 +159,7 @@
   for (const auto& [id, state] : endpoints_) {
     if (state.entry.service != service ||
         !MayReceive(now, id, state.entry.start_unix_ms) ||
-        !limits_.MaySend(now, state.incarnation_hash)) {
+        !notices_.MaySend(now, state.incarnation_hash)) {
       continue;
     }
     (now < state.suspended_until ? suspended : usable).push_back(&state);
@@ -170,8 +170,9 @@
 EndpointLimits::Change EndpointRegistry::OnReportedLimit(
     Millis now,
     const ReportedLimit& reported) {
-  return by_hash_.contains(reported.endpoint) ? limits_.OnReport(now, reported)
-                                              : EndpointLimits::Change::kNone;
+  return by_hash_.contains(reported.endpoint)
+             ? notices_.limits().OnReport(now, reported)
+             : EndpointLimits::Change::kNone;
 }
 
 EndpointRegistry::Room EndpointRegistry::RoomOf(
@@ -184,12 +185,12 @@
         !MayReceive(now, id, state.entry.start_unix_ms)) {
       continue;
     }
-    if (!limits_.IsLimited(state.incarnation_hash)) {
+    if (!notices_.IsRestricted(now, state.incarnation_hash)) {
       return {};
     }
-    room.all_limited = true;
-    room.per_second += limits_.OwnRate(state.incarnation_hash);
-    const auto own_next = limits_.TimeToNext(now, state.incarnation_hash);
+    room.all_restricted = true;
+    room.per_second += notices_.RatePerSecond(now, state.incarnation_hash);
+    const auto own_next = notices_.TimeToNext(now, state.incarnation_hash);
     if (own_next && (!next || *own_next < *next)) {
       next = own_next;
     }
@@ -234,7 +235,7 @@
                                         const EndpointState& chosen,
                                         int64_t uncached_tokens,
                                         Millis predicted) {
-  limits_.OnSent(now, chosen.incarnation_hash);
+  notices_.OnSent(now, chosen.incarnation_hash);
   EndpointTicket ticket;
   ticket.id = chosen.entry.id;
   ticket.start_unix_ms = chosen.entry.start_unix_ms;
@@ -361,7 +362,7 @@
 }
 
 void EndpointRegistry::OnTick(Millis now) {
-  limits_.OnTick(now);
+  notices_.OnTick(now);
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
     if (state.missing_since > Millis(0) &&
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -7,8 +7,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "coordination/endpoint_limits.h"
 #include "coordination/endpoint_load.h"
+#include "coordination/endpoint_notices.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
 #include "state/endpoint_entry.h"
@@ -57,7 +57,7 @@
 
   //! Returns the endpoints of a service that may receive requests, ordered by
   //! id. Suspended ones are omitted unless all are suspended, and those whose
-  //! limit is used up always.
+  //! limit is used up or that asked for nothing always.
   std::vector<const EndpointState*> Usable(Millis now,
                                            const std::string& service) const;
 
@@ -98,15 +98,14 @@
   EndpointLimits::Change OnReportedLimit(Millis now,
                                          const ReportedLimit& reported);
 
-  //! Limits that endpoints name.
-  EndpointLimits& limits() { return limits_; }
-  const EndpointLimits& limits() const { return limits_; }
+  EndpointNotices& notices() { return notices_; }
+  const EndpointNotices& notices() const { return notices_; }
 
-  //! What the limits of a service's endpoints leave to this instance.
+  //! What the limits and waits of a service's endpoints leave to this instance.
   struct Room {
-    bool all_limited = false;  //!< There are endpoints, and all have limits.
-    double per_second = 0;     //!< Requests that this instance may send.
-    Millis next;               //!< Time until it may send one.
+    bool all_restricted = false;  //!< There are endpoints, and none takes all.
+    double per_second = 0;        //!< Requests that this instance may send.
+    Millis next;                  //!< Time until it may send one.
   };
   Room RoomOf(Millis now, const std::string& service) const;
 
@@ -134,7 +133,7 @@
   //! delayed entry cannot restore it.
   std::map<std::string, std::pair<int64_t, int64_t>> removed_;
   std::map<uint64_t, PeerLoad> peers_;
-  EndpointLimits limits_;
+  EndpointNotices notices_;
 };
 
 //! Returns the smoothed failure rate of an endpoint at `now`. It decays while
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -134,7 +134,7 @@
       const EndpointState* state = registry_->FindByHash(it.endpoint);
       if (state != nullptr && now - it.last_used < kPrefixCacheLifetime &&
           it.last_used > latest_use && now >= state->suspended_until &&
-          !registry_->limits().IsLimited(it.endpoint)) {
+          !registry_->notices().IsRestricted(now, it.endpoint)) {
         found = state;
         latest_use = it.last_used;
       }
@@ -204,6 +204,7 @@
 }
 
 const EndpointState* Placement::FindPreferred(
+    Millis now,
     const Request& request,
     const std::vector<const EndpointState*>& usable) const {
   const EndpointState* preferred = nullptr;
@@ -217,7 +218,7 @@
   uint64_t best = 0;
   for (const EndpointState* it : usable) {
     // Few requests of a session could follow the first one there.
-    if (registry_->limits().IsLimited(it->incarnation_hash)) {
+    if (registry_->notices().IsRestricted(now, it->incarnation_hash)) {
       continue;
     }
     const uint64_t weight = RendezvousWeight(session, it->incarnation_hash);
@@ -245,7 +246,7 @@
   if (state.entry.data_centre != data_centre_) {
     estimate.cost_ms += kOtherDataCentreCostMs;
   }
-  if (registry_->limits().IsLimited(state.incarnation_hash)) {
+  if (registry_->notices().limits().IsLimited(state.incarnation_hash)) {
     estimate.cost_ms -= kUnusedLimitMs;
   }
   return estimate;
@@ -256,7 +257,7 @@
                                                    double jitter) const {
   const auto usable = registry_->Usable(now, request.service->name);
   const EndpointState* preferred =
-      request.prompt != nullptr ? FindPreferred(request, usable) : nullptr;
+      request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double min_cost = std::numeric_limits<double>::infinity();
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -81,9 +81,10 @@
                             const EndpointState& state,
                             const EndpointState* preferred) const;
   //! Returns the engine that all instances prefer for the request's session;
-  //! nullptr if the prompt has no shared part. Endpoints with a limit are not
+  //! nullptr if the prompt has no shared part. Restricted endpoints are not
   //! preferred.
   const EndpointState* FindPreferred(
+      Millis now,
       const Request& request,
       const std::vector<const EndpointState*>& usable) const;
   static double EstimateWithoutPrefill(const EndpointState& state);
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -108,8 +108,9 @@
   LogLine(log, "endpoint_limit")
       .Add("endpoint", state == nullptr ? "" : state->entry.id)
       .Add("source", source)
-      .Add("per_second", registry.limits().LimitOf(endpoint).value_or(-1))
-      .Add("own_per_second", registry.limits().OwnRate(endpoint))
+      .Add("per_second",
+           registry.notices().limits().LimitOf(endpoint).value_or(-1))
+      .Add("own_per_second", registry.notices().limits().OwnRate(endpoint))
       .Add("instances", instances);
 }
 
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -252,7 +252,7 @@
   const Millis now = context_->loop->Now();
   const EndpointRegistry::Room room =
       context_->registry.RoomOf(now, service_->name);
-  if (!room.all_limited) {
+  if (!room.all_restricted) {
     return false;
   }
   // More urgent requests take what the limits allow first.
@@ -271,6 +271,17 @@
   return true;
 }
 
+Millis RelayTask::DelayAfterRefusal(AttemptOutcome outcome) const {
+  const EndpointRegistry::Room room =
+      context_->registry.RoomOf(context_->loop->Now(), service_->name);
+  if (room.all_restricted) {
+    return room.next;
+  }
+  return outcome == AttemptOutcome::kRefused
+             ? route_->latency_objective.Scaled(0.5)
+             : kMinRetryAfter;
+}
+
 void RelayTask::Send(const Placement::Choice& choice,
                      const EndpointState& state) {
   const Millis now = context_->loop->Now();
@@ -534,10 +545,7 @@
       }
       return;
     case NextStep::kRefuse:
-      RefuseWithRetryAfter("endpoint_refused",
-                           outcome == AttemptOutcome::kRefused
-                               ? route_->latency_objective.Scaled(0.5)
-                               : kMinRetryAfter);
+      RefuseWithRetryAfter("endpoint_refused", DelayAfterRefusal(outcome));
       return;
     case NextStep::kBadGateway:
       Fail(502, "Bad Gateway", "endpoint_failed");
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -84,6 +84,8 @@
   void Attempt();
   //! Refuses the request if the limits of the endpoints leave no room for it.
   bool RefuseForLimits();
+  //! Retry-After for a caller whose request no endpoint takes.
+  Millis DelayAfterRefusal(AttemptOutcome outcome) const;
   void Send(const Placement::Choice& choice, const EndpointState& state);
   //! Returns the head of the request to the endpoint. Ranks above 9 are sent as
   //! 9, the lowest priority; see CallDialect::priority.
@@ -109,6 +111,10 @@
   AttemptOutcome Classify(const HttpReader& answer) const;
   //! Takes note of what the endpoint says of itself in the head of an answer.
   void ReadLimit(const HttpReader& answer);
+  //! Takes note if the endpoint refuses and asks for nothing for a time.
+  void ReadWait(const HttpReader& answer);
+  //! Whether the answer is surely the endpoint's.
+  bool IsOwn(const HttpReader& answer) const;
   bool IsStreamAnswer() const;
   //! The present attempt's answer has its proper end.
   void FinishAnswer();
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -8,6 +8,7 @@
 #include "absl/strings/str_format.h"
 #include "coordination/attempt_rules.h"
 #include "protocol/http_reader.h"
+#include "protocol/retry_after.h"
 #include "protocol/text.h"
 #include "state/routing_config.h"
 #include "transport/log_line.h"
@@ -86,6 +87,7 @@
   answer_outcome_ = Classify(answer);
   if (answer_outcome_ != AttemptOutcome::kMisdirected) {
     ReadLimit(answer);
+    ReadWait(answer);
   }
   if (ticket_) {
     context_->registry.OnFirstByte(context_->loop->Now(), &*ticket_);
@@ -137,15 +139,42 @@
         .AddQuoted("reason", std::string(limit.status().message()));
     return;
   }
-  // Only an answer that is surely the endpoint's shows that it names no limit.
-  const bool is_own = answer.fields().Count(dialect.signature) == 1 ||
-                      answer.fields().Count(dialect.not_run) > 0;
-  if (limit->has_value() || is_own) {
+  if (limit->has_value() || IsOwn(answer)) {
     context_->LogLimitChange(
         ticket_->incarnation_hash, "answer",
-        context_->registry.limits().OnAnswer(context_->loop->Now(),
-                                             ticket_->incarnation_hash,
-                                             ticket_->sent_at, *limit));
+        context_->registry.notices().limits().OnAnswer(
+            context_->loop->Now(), ticket_->incarnation_hash, ticket_->sent_at,
+            *limit));
+  }
+}
+
+bool RelayTask::IsOwn(const HttpReader& answer) const {
+  const CallDialect& dialect = context_->dialect;
+  return answer.fields().Count(dialect.signature) == 1 ||
+         answer.fields().Count(dialect.not_run) > 0;
+}
+
+void RelayTask::ReadWait(const HttpReader& answer) {
+  if (!ticket_ || answer.status() != 503 || !IsOwn(answer)) {
+    return;
+  }
+  const auto wait = FindRetryAfter(answer.fields());
+  if (!wait.ok()) {
+    context_->metrics->Count("endpoint_waits_unreadable_total");
+    LogLine(context_->log, "wait_unreadable")
+        .Add("id", request_id_)
+        .Add("endpoint", ticket_->id)
+        .AddQuoted("reason", std::string(wait.status().message()));
+    return;
+  }
+  if (wait->has_value() && context_->registry.notices().waits().OnAsked(
+                               context_->loop->Now(), ticket_->incarnation_hash,
+                               **wait, context_->RandomFraction())) {
+    LogLine(context_->log, "endpoint_wait")
+        .Add("id", request_id_)
+        .Add("endpoint", ticket_->id)
+        .Add("service", service_->name)
+        .Add("wait_ms", std::min(**wait, EndpointWaits::kMaxWait));
   }
 }
 
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -68,7 +68,11 @@
     }
     // Requests without this header get a plain answer, others a stream.
     if (request_.fields.Count("X-Token-Usage") == 0) {
-      Reply(200, behaviour.unsigned_answer ? "X-Other" : "X-Server-Signature");
+      timer_ = endpoint_->loop_->After(behaviour.answer_delay, [this] {
+        Reply(200, endpoint_->behaviour_.unsigned_answer
+                       ? "X-Other"
+                       : "X-Server-Signature");
+      });
       return;
     }
     const auto last_event_id = request_.fields.Find("Last-Event-Id");
@@ -121,7 +125,13 @@
 
   void Reply(int status, const char* marker_header) {
     running_ = false;
-    connection_->Answer(Head(status, marker_header), "body");
+    AnswerHead head = Head(status, marker_header);
+    if (status == 503) {
+      for (const std::string& it : endpoint_->behaviour_.retry_after) {
+        head.fields.Add("Retry-After", it);
+      }
+    }
+    connection_->Answer(head, "body");
   }
 
   void SendNextEvent() {
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -24,9 +24,12 @@
  public:
   //! How requests are answered.
   struct Behaviour {
-    int events = 5;                //!< Number of events in a stream.
-    Millis event_interval{2};      //!< Between two events.
-    bool refuse = false;           //!< Answers 503, marked as not run.
+    int events = 5;            //!< Number of events in a stream.
+    Millis event_interval{2};  //!< Between two events.
+    Millis answer_delay;       //!< Before a plain answer.
+    bool refuse = false;       //!< Answers 503, marked as not run.
+    //! Values of the fields of refusals that name a time to wait.
+    std::vector<std::string> retry_after;
     bool fail = false;             //!< Answers 500, signed by the endpoint.
     bool unresponsive = false;     //!< Runs the request and never answers.
     bool unsigned_answer = false;  //!< Answers without a signature.
