Count refused calls of the own interface as retries

A call that an endpoint refuses has reached it, so the second try is a retry like any other; RequestFlow took one from the budget only after a lost answer. Endpoints that refuse got up to max_tries arrivals for each call, however many calls there were.

RequestFlowTest.RefusedCallIsTriedAgainOnlyWithinTheRetryBudget failed before by construction: RetryNotRun did not ask the budget.

--- a/src/coordination/request_flow.cpp
+++ b/src/coordination/request_flow.cpp
@@ -112,6 +112,11 @@
   if (tries_ >= spec_.max_tries || caller_gone_) {
     return Fail(code);
   }
+  // A refused call has reached an endpoint; one that found no connection adds
+  // no load.
+  if (code == ResultCode::kEndpointRefused && !retries_->TakeRetry()) {
+    return Fail(code);
+  }
   Actions out{AppendRecord{MakeRun(code)}};
   const Actions dispatch = Dispatch();
   out.insert(out.end(), dispatch.begin(), dispatch.end());
--- a/tests/coordination/request_flow_test.cpp
+++ b/tests/coordination/request_flow_test.cpp
@@ -175,6 +175,32 @@
   EXPECT_EQ(Find<FinishRequest>(actions)->code, ResultCode::kRetryBudgetSpent);
 }
 
+// Guards against endpoints that refuse getting any number of second tries.
+TEST_F(RequestFlowTest, RefusedCallIsTriedAgainOnlyWithinTheRetryBudget) {
+  for (const bool has_retry : {false, true}) {
+    RetryBudget budget(0, has_retry ? 1 : 0);
+    budget.AddBurst();
+    RequestFlow flow(Make(true).spec(), &budget);
+    AdvanceToRunning(flow);
+    const auto actions = flow.OnUpstream(now_, Event(Kind::kRefused));
+    EXPECT_EQ(Find<DispatchCall>(actions) != nullptr, has_retry);
+    EXPECT_FALSE(budget.HasRetry());
+    if (!has_retry) {
+      EXPECT_EQ(Find<FinishRequest>(actions)->code,
+                ResultCode::kEndpointRefused);
+    }
+  }
+}
+
+TEST_F(RequestFlowTest, CallWithoutConnectionNeedsNoRetryBudget) {
+  RetryBudget exhausted(0, 0);
+  RequestFlow flow(Make(true).spec(), &exhausted);
+  AdvanceToRunning(flow);
+  EXPECT_NE(Find<DispatchCall>(
+                flow.OnUpstream(now_, Event(Kind::kConnectFailed))),
+            nullptr);
+}
+
 TEST_F(RequestFlowTest, CrashIsRecordedBeforeARetry) {
   RequestFlow flow = Make(true);
   AdvanceToRunning(flow);
