Own interface: leave out endpoints that refused with Retry-After

The own interface did not read Retry-After either. EndpointTable uses the same EndpointWaits as the registry: such an endpoint is no candidate until the time ends, and it is still up for everything else.

--- a/src/coordination/endpoint_table.cpp
+++ b/src/coordination/endpoint_table.cpp
@@ -6,6 +6,8 @@
 
 #include <glog/logging.h>
 
+#include "state/digest.h"
+
 namespace tamaracktrail {
 
 namespace {
@@ -27,6 +29,10 @@
     const bool same =
         it != entries_.end() && it->second.spec.address == spec.address;
     Entry entry = same ? std::move(it->second) : Entry();
+    if (!same) {
+      // Another endpoint has the name now.
+      waits_.Forget(StableHash(spec.name));
+    }
     entry.spec = spec;
     entries[spec.name] = std::move(entry);
   }
@@ -63,7 +69,16 @@
   }
 }
 
+bool EndpointTable::OnAskedToWait(Millis now,
+                                  const std::string& endpoint,
+                                  Millis wait,
+                                  double spread) {
+  return entries_.contains(endpoint) &&
+         waits_.OnAsked(now, StableHash(endpoint), wait, spread);
+}
+
 void EndpointTable::OnDispatch(Millis now, const std::string& endpoint) {
+  waits_.OnSent(now, StableHash(endpoint));
   auto it = entries_.find(endpoint);
   if (it != entries_.end()) {
     it->second.open_since.insert(now);
@@ -121,7 +136,8 @@
   std::vector<EndpointCandidate> local;
   std::vector<EndpointCandidate> remote;
   for (const auto& [name, entry] : entries_) {
-    if (entry.spec.service != service || !Usable(now, entry)) {
+    if (entry.spec.service != service || !Usable(now, entry) ||
+        !waits_.MaySend(now, StableHash(name))) {
       continue;
     }
     const double load = Load(now, entry);
--- a/src/coordination/endpoint_table.h
+++ b/src/coordination/endpoint_table.h
@@ -12,6 +12,7 @@
 #include "coordination/endpoint_candidate.h"
 #include "coordination/endpoint_observation.h"
 #include "coordination/endpoint_spec.h"
+#include "coordination/endpoint_waits.h"
 #include "protocol/probe_report.h"
 #include "state/millis.h"
 
@@ -76,9 +77,16 @@
                 Millis since,
                 Finish finish);
 
+  //! The endpoint refused a request and wants none for `wait`; see
+  //! EndpointWaits. Returns whether the wait ends later than known.
+  bool OnAskedToWait(Millis now,
+                     const std::string& endpoint,
+                     Millis wait,
+                     double spread);
+
   //! Returns the endpoints of a service that may receive a request now: those
-  //! of this data centre, or of the others if this one has none. Omits those at
-  //! `full_load` unless `include_full`.
+  //! of this data centre, or of the others if this one has none. Omits those
+  //! that asked for none, and those at `full_load` unless `include_full`.
   std::vector<EndpointCandidate> Candidates(Millis now,
                                             const std::string& service,
                                             bool include_full = false) const;
@@ -138,6 +146,7 @@
   Millis valid_from_;  //!< Older observations are ignored.
   int instance_count_ = 1;
   std::map<std::string, Entry> entries_;
+  EndpointWaits waits_;  //!< By the hash of the endpoint's name.
 };
 
 }  // namespace tamaracktrail
--- a/src/coordination/upstream_event.h
+++ b/src/coordination/upstream_event.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "state/millis.h"
+
 namespace tamaracktrail {
 
 //! An event of one try of a call at an endpoint.
@@ -24,6 +26,8 @@
   int status = 0;    //!< HTTP status.
   int64_t prompt_tokens = 0;
   int64_t completion_tokens = 0;
+  //! For kRefused: time for which the endpoint wants no call; 0 for none.
+  Millis retry_after;
   bool last_chunk = false;  //!< The chunk carries the final event's data.
 };
 
--- a/src/transport/entry_calls.cpp
+++ b/src/transport/entry_calls.cpp
@@ -382,6 +382,7 @@
       ReleaseEndpoint(now, *call, EndpointTable::Finish::kOk);
       break;
     case UpstreamEvent::Kind::kRefused:
+      AskToWait(now, *call, event.retry_after);
       ReleaseEndpoint(now, *call, EndpointTable::Finish::kRefused);
       break;
     default:
@@ -394,6 +395,17 @@
   }
 }
 
+void EntryCalls::AskToWait(Millis now, const EntryCall& call, Millis wait) {
+  constexpr uint64_t kSteps = 1024;
+  const double spread = static_cast<double>((*random_)() % kSteps) / kSteps;
+  if (endpoints_->OnAskedToWait(now, call.in_flight_endpoint, wait, spread)) {
+    metrics_->Count("tamaracktrail_endpoint_waits_total");
+    LOG(INFO) << "event=endpoint_wait endpoint=" << call.in_flight_endpoint
+              << " key=" << call.flow->spec().key
+              << " wait_ms=" << wait.count();
+  }
+}
+
 void EntryCalls::ReleaseEndpoint(Millis now,
                                  EntryCall& call,
                                  EndpointTable::Finish finish) {
--- a/src/transport/entry_calls.h
+++ b/src/transport/entry_calls.h
@@ -88,6 +88,8 @@
   void SendAnswer(EntryCall& call);
   void Forward(EntryCall& call, const std::string& data);
   void OnUpstream(uint64_t attempt, const UpstreamEvent& event);
+  //! The call's endpoint refused it and wants no call for `wait`; 0 for none.
+  void AskToWait(Millis now, const EntryCall& call, Millis wait);
   void ReleaseEndpoint(Millis now,
                        EntryCall& call,
                        EndpointTable::Finish finish);
--- a/src/transport/internal/upstream_call.cpp
+++ b/src/transport/internal/upstream_call.cpp
@@ -8,6 +8,7 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "protocol/retry_after.h"
 #include "protocol/sse_parser.h"
 
 namespace tamaracktrail {
@@ -115,6 +116,11 @@
   UpstreamEvent event;
   if (soup_message_headers_get_one(headers, "X-Not-Run") != nullptr) {
     event.kind = UpstreamEvent::Kind::kRefused;
+    const char* wait = soup_message_headers_get_one(headers, "Retry-After");
+    if (wait != nullptr) {
+      // An unreadable time asks for nothing.
+      event.retry_after = ParseRetryAfter(wait).value_or(Millis(0));
+    }
     End(std::move(event));
     return;
   }
--- a/tests/coordination/decisions_test.cpp
+++ b/tests/coordination/decisions_test.cpp
@@ -255,6 +255,18 @@
   EXPECT_EQ(Count(Millis(1002)), 1u);
 }
 
+// Guards against an endpoint that refuses at once drawing all calls.
+TEST_F(EndpointTableTest, EndpointThatAskedToWaitIsNoCandidateUntilThen) {
+  Observe("a", EndpointHealth::kUp, Millis(1000));
+  Observe("b", EndpointHealth::kUp, Millis(1000));
+  EXPECT_TRUE(table_.OnAskedToWait(Millis(1001), "a", Millis(500), 0.9));
+  ASSERT_EQ(Count(Millis(1500)), 1u);
+  EXPECT_EQ(table_.Candidates(Millis(1500), "s", true)[0].name, "b");
+  EXPECT_TRUE(table_.Usable(Millis(1500), "a"));
+  EXPECT_EQ(Count(Millis(1700)), 2u);
+  EXPECT_FALSE(table_.OnAskedToWait(Millis(1700), "unknown", Millis(500), 0));
+}
+
 TEST_F(EndpointTableTest, RecoveredEndpointStartsWithReducedCapacity) {
   Observe("a", EndpointHealth::kDown, Millis(1000));
   Observe("a", EndpointHealth::kUp, Millis(2000));
