Refuse requests whose token usage is no two sensible numbers

While such a request was open, the negative reservation also enlarged the share; a usage that could not be parsed was no usage, so that the request ran without being charged.

Numbers of tokens go up to 1,000,000,000, in the usage and in the parts of the prompt; any other usage is answered 400. With the program of FrontProcessTest.SurvivesATokenUsageThatOverflows fails: 200, and the process is gone.

--- a/src/protocol/call_dialect.h
+++ b/src/protocol/call_dialect.h
@@ -34,9 +34,10 @@
   //! Error: the field has no usable value.
   absl::StatusOr<std::optional<double>> (*parse_limit)(
       const HttpFields& fields) = nullptr;
-  //! Parses the prompt description of a request; nullopt if it has none.
-  std::optional<PromptShape> (*parse_prompt)(const HttpFields& fields) =
-      nullptr;
+  //! Parses the prompt description of a request; nullopt if it has none. Error:
+  //! it states no usable number of tokens.
+  absl::StatusOr<std::optional<PromptShape>> (*parse_prompt)(
+      const HttpFields& fields) = nullptr;
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -98,7 +98,12 @@
     return false;
   }
   Retries().OnRequest();
-  prompt_ = context_->dialect.parse_prompt(request_.fields);
+  const auto prompt = context_->dialect.parse_prompt(request_.fields);
+  if (!prompt.ok()) {
+    Fail(400, "Bad Request", "bad_token_usage");
+    return false;
+  }
+  prompt_ = *prompt;
   if (prompt_) {
     prefix_hashes_ = PrefixCacheIndex::HashPrefixes(prompt_->parts);
     // The last part belongs to this request or its session alone.
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -213,15 +213,40 @@
 TEST(WireNamesTest, ParsesPromptFromHeaderFields) {
   const CallDialect dialect = MakeCallDialect();
   HttpFields fields;
-  EXPECT_FALSE(dialect.parse_prompt(fields));
+  EXPECT_EQ(*dialect.parse_prompt(fields), std::nullopt);
   fields.Add("x-token-usage", "1460,80");
   fields.Add("X-Prompt-Prefix", "5c:800,91:410,e4:250");
-  const auto prompt = dialect.parse_prompt(fields);
+  const auto prompt = *dialect.parse_prompt(fields);
   ASSERT_TRUE(prompt);
   EXPECT_EQ(prompt->max_tokens(), 1540);
   ASSERT_EQ(prompt->parts.size(), 3U);
   EXPECT_EQ(prompt->parts[1], (PromptPart{"91", 410}));
 }
 
+TEST(WireNamesTest, NumbersOfTokensThatCannotBeAreErrors) {
+  const CallDialect dialect = MakeCallDialect();
+  for (const char* it :
+       {"", "5", "5,", "5,6,7", "-5,30", "5,-30", "5,x",
+        "5,9223372036854775807", "9223372036854775807,5", "1000000001,0"}) {
+    HttpFields fields;
+    fields.Add("X-Token-Usage", it);
+    EXPECT_FALSE(dialect.parse_prompt(fields).ok()) << it;
+  }
+  HttpFields two;
+  two.Add("X-Token-Usage", "5,6");
+  two.Add("X-Token-Usage", "5,6");
+  EXPECT_FALSE(dialect.parse_prompt(two).ok());
+}
+
+TEST(WireNamesTest, PartsOfThePromptEndBeforeANumberThatCannotBe) {
+  const CallDialect dialect = MakeCallDialect();
+  for (const char* it : {"a:-1", "a:9223372036854775807", "a", "a:x"}) {
+    HttpFields fields;
+    fields.Add("X-Token-Usage", "5,6");
+    fields.Add("X-Prompt-Prefix", absl::StrCat("b:4,", it));
+    EXPECT_EQ((*dialect.parse_prompt(fields))->parts.size(), 1U) << it;
+  }
+}
+
 }  // namespace
 }  // namespace tamaracktrail::platform
--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -136,6 +136,28 @@
   EXPECT_NE(ReadLog().find("event=address_taken"), std::string::npos);
 }
 
+// Guards against any caller ending an instance by a number of tokens whose sum
+// overflows.
+TEST_F(FrontProcessTest, SurvivesATokenUsageThatOverflows) {
+  UseAsEngines();
+  Caller* overflowing = nullptr;
+  RunProcess([] {}, [&] {
+    overflowing = Send(
+        "POST /report/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-0\r\n"
+        "Authorization: Bearer key-1\r\nX-Model: m\r\n"
+        "X-Token-Usage: 5,9223372036854775807\r\nContent-Length: 0\r\n\r\n");
+    AwaitOver(overflowing, [this] {
+      for (StandInEndpoint* it : {&a_, &b_}) {
+        PutEndpoint(*it, "app", 3, false);
+      }
+      loop_.After(Millis(800), [this] { Finish(); });
+    });
+  });
+  EXPECT_TRUE(process_->running());
+  EXPECT_EQ(overflowing->status(), 400);
+  EXPECT_TRUE(Served());
+}
+
 TEST_F(FrontProcessTest, StopsWhileItWaitsForAnAddress) {
   const auto taken = ListenTcp(settings_.health_address);
   ASSERT_TRUE(taken.ok());
--- a/tests/platform/front_test.cpp
+++ b/tests/platform/front_test.cpp
@@ -114,6 +114,13 @@
                         "X-Request-Id: 1\r\nContent-Length: 0\r\n"
                         "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                         400},
+        // Guards against a sum of tokens that overflows and ends the instance.
+        RejectedRequest{"too_many_tokens",
+                        "POST /report/ HTTP/1.1\r\nHost: h.example\r\n"
+                        "X-Request-Id: 1\r\nAuthorization: Bearer key-1\r\n"
+                        "X-Token-Usage: 5,9223372036854775807\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                        400},
         RejectedRequest{"body_too_large",
                         "POST /fee/ HTTP/1.1\r\nHost: h.example\r\n"
                         "X-Request-Id: 1\r\nContent-Length: 20000\r\n\r\n",
