Check lengths in records of budgets and crashes before memory is allocated

A length in a damaged record of the store made an instance allocate as much: ShareLockTest.LengthBeyondTheRecordIsNotAllocated failed before with 1,048,708 kB or so for a record of 24 bytes.

--- a/src/protocol/bounded_input_archive.h
+++ b/src/state/bounded_input_archive.h
@@ -1,5 +1,5 @@
-#ifndef PROTOCOL_BOUNDED_INPUT_ARCHIVE_H_
-#define PROTOCOL_BOUNDED_INPUT_ARCHIVE_H_
+#ifndef STATE_BOUNDED_INPUT_ARCHIVE_H_
+#define STATE_BOUNDED_INPUT_ARCHIVE_H_
 
 #include <algorithm>
 #include <cereal/archives/portable_binary.hpp>
@@ -30,6 +30,8 @@
     }
   }
 
+  bool at_end() const { return bytes_.empty(); }
+
   //! Copies the next `n` bytes. Throws cereal::Exception if fewer are left.
   void Load(void* to, size_t n) {
     CheckLength(n);
@@ -73,4 +75,4 @@
 
 }  // namespace tamaracktrail
 
-#endif  // PROTOCOL_BOUNDED_INPUT_ARCHIVE_H_
+#endif  // STATE_BOUNDED_INPUT_ARCHIVE_H_
--- a/src/state/budget_claim.cpp
+++ b/src/state/budget_claim.cpp
@@ -3,6 +3,8 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <sstream>
 
+#include "state/bounded_input_archive.h"
+
 namespace tamaracktrail {
 
 namespace {
@@ -49,12 +51,11 @@
   claim.instance = key.substr(0, slash);
   claim.organisation = key.substr(slash + 1);
   try {
-    std::istringstream in(value);
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(value);
     archive(claim.incarnation, claim.number, claim.claimed, claim.locked,
             claim.spent, claim.stranded);
     // Earlier versions wrote no generation.
-    if (in.peek() != std::istringstream::traits_type::eof()) {
+    if (!archive.at_end()) {
       archive(claim.generation);
     }
   } catch (const std::exception&) {
--- a/src/state/share_lock.cpp
+++ b/src/state/share_lock.cpp
@@ -4,6 +4,8 @@
 #include <cereal/types/string.hpp>
 #include <sstream>
 
+#include "state/bounded_input_archive.h"
+
 namespace tamaracktrail {
 
 namespace {
@@ -32,11 +34,10 @@
   ShareLock lock;
   lock.instance = key.substr(0, key.size() - 1);
   try {
-    std::istringstream in(value);
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(value);
     archive(lock.incarnation, lock.boot, lock.at);
     // Earlier versions wrote no generation.
-    if (in.peek() != std::istringstream::traits_type::eof()) {
+    if (!archive.at_end()) {
       archive(lock.generation);
     }
   } catch (const std::exception&) {
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -6,7 +6,7 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
-#include "protocol/bounded_input_archive.h"
+#include "state/bounded_input_archive.h"
 #include "transport/event_loop.h"
 #include "transport/log_line.h"
 #include "transport/relay/caller_request.h"
--- a/src/transport/peer_gossip.cpp
+++ b/src/transport/peer_gossip.cpp
@@ -14,7 +14,7 @@
 #include <sstream>
 #include <variant>
 
-#include "protocol/bounded_input_archive.h"
+#include "state/bounded_input_archive.h"
 #include "transport/socket_address.h"
 
 namespace tamaracktrail {
--- a/tests/protocol/bounded_input_archive_test.cpp
+++ b/tests/state/bounded_input_archive_test.cpp
@@ -1,4 +1,4 @@
-#include "protocol/bounded_input_archive.h"
+#include "state/bounded_input_archive.h"
 
 #include <gtest/gtest.h>
 
