--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -65,6 +65,17 @@
 //! Time from a crash to the removal of the endpoint and its replacement.
 constexpr Millis kReplaceTime{1200};
 
+//! Time for which endpoints want no requests after a refusal, and how many may
+//! reach them in it from kToldGrace on.
+constexpr Millis kAskedWait{2000};
+constexpr int kMaxInAskedWait = 2;
+
+//! Retries that a service may get in any kRetryWindow, with the settings of
+//! InstanceProcess.
+constexpr double kRetryRatio = 0.2;
+constexpr int kRetryExtra = 50;
+constexpr Millis kRetryWindow{10000};
+
 struct Call {
   std::string id;
   std::string route;
@@ -80,6 +91,7 @@
         random_(options.seed),
         call_random_(options.seed),
         restore_random_(options.seed),
+        wait_random_(options.seed),
         store_(&loop_) {
     for (const char* it : {"llm", "llm", "app", "app"}) {
       AddEndpoint(it);
@@ -103,6 +115,7 @@
       ProbeConfigs();
       InjectFault();
       ScheduleRestore();
+      ScheduleWait();
     });
     PollTick();
     loop_.After(kWarmUp + options_.fault_time, [this] { EndAllFaults(); });
@@ -130,12 +143,19 @@
     bool killed = false;       //!< By SIGKILL, at any time in the run.
     Millis restart_at;  //!< Time of the next start; 0 while none is planned.
   };
+  //! What an endpoint has asked an instance for.
+  struct AskedWait {
+    const Instance* from = nullptr;
+    Millis asked_at;
+    int arrivals = 0;  //!< In the time that counts.
+  };
   struct Endpoint {
     std::unique_ptr<StandInEndpoint> stand_in;
     std::unique_ptr<FaultProxy> link;  //!< Its address is the published one.
     std::string service;
     int64_t sequence = 1;
     Millis draining_since;  //!< 0 if it never drained.
+    Millis link_disturbed_at;
     bool crashed = false;
     size_t checked_requests = 0;
     size_t checked_arrivals = 0;
@@ -143,6 +163,7 @@
     double limit = 0;                           //!< Requests a second.
     std::map<const Instance*, Millis> told_at;  //!< Of the limit.
     std::deque<Millis> counted_arrivals;        //!< Within kLimitSpan.
+    std::deque<AskedWait> asked_waits;
   };
   struct Fault {
     const char* name;
@@ -208,6 +229,34 @@
     it->stand_in->behaviour().limit.clear();
   }
 
+  //! Makes a random endpoint refuse with a time to wait. Has a generator of its
+  //! own, like ScheduleRestore.
+  void ScheduleWait() {
+    const auto random_time = [&](int64_t min_ms, int64_t max_ms) {
+      return Millis(
+          std::uniform_int_distribution<int64_t>(min_ms, max_ms)(wait_random_));
+    };
+    const Millis refusing_for = random_time(100, 1500);
+    const uint64_t n = wait_random_();
+    loop_.After(random_time(1000, 4000), [=, this] {
+      if (faults_ended_) {
+        return;
+      }
+      Endpoint& it = endpoints_[n % endpoints_.size()];
+      ++report_.faults["endpoint_wait"];
+      endpoints_disturbed_at_ = loop_.Now();
+      it.stand_in->behaviour().refuse = true;
+      it.stand_in->behaviour().retry_after = {
+          absl::StrCat(kAskedWait.count() / 1000)};
+      loop_.After(refusing_for, [this, &it] {
+        endpoints_disturbed_at_ = loop_.Now();
+        it.stand_in->behaviour().refuse = false;
+        it.stand_in->behaviour().retry_after.clear();
+      });
+      ScheduleWait();
+    });
+  }
+
   static StandInEndpoint::Behaviour DefaultBehaviour() {
     StandInEndpoint::Behaviour behaviour;
     behaviour.event_interval = kEventInterval;
@@ -352,9 +401,11 @@
     Endpoint* it =
         &endpoints_[RandomBelow(static_cast<int>(endpoints_.size()))];
     endpoints_disturbed_at_ = loop_.Now();
+    it->link_disturbed_at = loop_.Now();
     it->link->SetMode(RandomFaultMode());
     loop_.After(RandomTime(50, 1500), [this, it] {
       endpoints_disturbed_at_ = loop_.Now();
+      it->link_disturbed_at = loop_.Now();
       it->link->SetMode(FaultProxy::Mode::kPass);
     });
   }
@@ -646,6 +697,7 @@
       if (arrival.crashes) {
         CheckCrash(*from, arrival);
       }
+      CheckAskedWaits(it, *from, arrival);
       if (it->limit_named_at > Millis(0) && arrival.at >= it->limit_named_at) {
         CheckLimit(it, *from, arrival.at);
       }
@@ -687,6 +739,72 @@
     }
   }
 
+  //! Counts requests of an instance that the endpoint has asked to wait.
+  void CheckAskedWaits(Endpoint* it,
+                       const Instance& from,
+                       const StandInEndpoint::Arrival& arrival) {
+    std::deque<AskedWait>& waits = it->asked_waits;
+    while (!waits.empty() && arrival.at - waits.front().asked_at > kAskedWait) {
+      waits.pop_front();
+    }
+    const bool is_excused =
+        !BoundsApply(from) || it->link->mode() != FaultProxy::Mode::kPass ||
+        loop_.Now() - it->link_disturbed_at < kUndisturbedTime;
+    for (AskedWait& wait : waits) {
+      if (wait.from == &from && !is_excused &&
+          arrival.at - wait.asked_at > kToldGrace &&
+          ++wait.arrivals > kMaxInAskedWait) {
+        AddViolation(
+            absl::StrCat(it->stand_in->id(), " asked ", from.process->name(),
+                         " to wait and got ", arrival.request_id, " ",
+                         (arrival.at - wait.asked_at).count(), " ms later"));
+      }
+    }
+    if (arrival.asked_to_wait) {
+      waits.push_back({&from, arrival.at});
+    }
+  }
+
+  //! Checks the retries of each service over sliding windows. A request counts
+  //! from its first arrival on; one that never arrived is left out.
+  void CheckRetries() {
+    for (const char* service : {"llm", "app"}) {
+      std::vector<std::pair<Millis, std::string>> arrivals;
+      for (const Endpoint& it : endpoints_) {
+        if (it.service == service) {
+          for (const auto& arrival : it.stand_in->arrivals()) {
+            // Probes of the configuration share an id.
+            if (InstanceOfRequest(arrival.request_id) != nullptr) {
+              arrivals.emplace_back(arrival.at, arrival.request_id);
+            }
+          }
+        }
+      }
+      std::sort(arrivals.begin(), arrivals.end());
+      std::set<std::string> seen;
+      std::vector<Millis> requests;
+      std::vector<Millis> retries;
+      for (const auto& [at, id] : arrivals) {
+        (seen.insert(id).second ? requests : retries).push_back(at);
+      }
+      const auto count = [](const std::vector<Millis>& times, Millis after,
+                            Millis until) {
+        return std::upper_bound(times.begin(), times.end(), until) -
+               std::upper_bound(times.begin(), times.end(), after);
+      };
+      for (const Millis end : retries) {
+        const auto n = count(retries, end - kRetryWindow, end);
+        const auto of = count(requests, end - kRetryWindow, end);
+        if (static_cast<double>(n) >
+            kRetryRatio * static_cast<double>(of) + kRetryExtra) {
+          AddViolation(absl::StrCat(service, " got ", n, " retries of ", of,
+                                    " requests in 10 s"));
+          break;
+        }
+      }
+    }
+  }
+
   const Instance* InstanceOfRequest(const std::string& id) const {
     for (const Instance& it : instances_) {
       if (id.rfind(it.process->name() + ".", 0) == 0) {
@@ -785,6 +903,7 @@
   }
 
   void CheckResults() {
+    CheckRetries();
     // Repeatable requests have max_attempts 2 in SampleConfig.
     for (const auto& [id, n] : run_count_by_id_) {
       if (id != "probe" && n > (non_repeatable_ids_.count(id) > 0 ? 1 : 2)) {
@@ -831,6 +950,7 @@
   std::mt19937_64 random_;
   std::mt19937_64 call_random_;
   std::mt19937_64 restore_random_;
+  std::mt19937_64 wait_random_;
   EventLoop loop_;
   StandInStore store_;
   std::deque<Endpoint> endpoints_;  //!< Including removed ones.
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -48,6 +48,8 @@
       return;
     }
     if (behaviour.refuse) {
+      endpoint_->arrivals_.back().asked_to_wait =
+          !behaviour.retry_after.empty();
       Reply(503, "X-Not-Executed");
       return;
     }
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -71,7 +71,8 @@
   struct Arrival {
     Millis at;
     std::string request_id;
-    bool crashes = false;  //!< It crashed the endpoint.
+    bool crashes = false;        //!< It crashed the endpoint.
+    bool asked_to_wait = false;  //!< Refused with Behaviour::retry_after.
   };
   //! All requests in order, also those that were refused.
   const std::vector<Arrival>& arrivals() const { return arrivals_; }
