Own interface: give up answers of endpoints that never end or have wrong types

A faulty endpoint could fill the memory through the own interface: HttpClient collected an answer's body without a limit (health checks, the log, instances), and an event without an end was kept whole. A health answer or a usage whose values have other types than expected ended the process.

Bodies are limited (64 KiB for health checks, 64 MiB otherwise), events to 256 KiB, and wrong types make the endpoint count as down or the answer as broken. Heads were limited by libsoup already.

--- a/src/transport/endpoint_prober.cpp
+++ b/src/transport/endpoint_prober.cpp
@@ -1,15 +1,24 @@
 #include "transport/endpoint_prober.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
+#include <glog/logging.h>
+
 #include "transport/http_client.h"
 
 namespace tamaracktrail {
 
 namespace {
 
+//! Largest load that is believed, in open requests.
+constexpr double kMaxLoad = 1e6;
+
+//! Size limit of an answer to a probe.
+constexpr size_t kMaxHealthBytes = 64 * 1024;
+
 EndpointObservation Parse(const std::string& endpoint,
                           Millis sent_at,
                           const absl::StatusOr<HttpReply>& reply) {
@@ -25,11 +34,17 @@
   if (!body.is_object()) {
     return out;
   }
-  out.health = body.value("leaving", false) ? EndpointHealth::kDraining
-                                            : EndpointHealth::kUp;
-  out.load = body.value("load", 0);
-  out.boot_id = body.value("boot_id", "");
-  out.loaded = body.value("loaded", std::vector<std::string>());
+  try {
+    out.load =
+        static_cast<int>(std::clamp(body.value("load", 0.0), 0.0, kMaxLoad));
+    out.boot_id = body.value("boot_id", "");
+    out.loaded = body.value("loaded", std::vector<std::string>());
+    out.health = body.value("leaving", false) ? EndpointHealth::kDraining
+                                              : EndpointHealth::kUp;
+  } catch (const nlohmann::json::exception& e) {
+    LOG(WARNING) << "event=health_unreadable endpoint=" << endpoint
+                 << " reason=\"" << e.what() << "\"";
+  }
   return out;
 }
 
@@ -53,6 +68,7 @@
   HttpClient::Request request;
   request.url = "http://" + endpoint.address + "/health";
   request.timeout = kTimeout;
+  request.max_body_bytes = kMaxHealthBytes;
   client_->Send(request, [this, now, name = endpoint.name,
                           done = std::move(done)](auto reply) {
     if (absl::IsCancelled(reply.status())) {
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,6 +3,7 @@
 #include <libsoup/soup.h>
 
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace tamaracktrail {
@@ -10,12 +11,16 @@
 namespace {
 
 constexpr int kMaxConnections = 4096;
+constexpr gsize kReadBytes = 32 * 1024;
 
 //! One request and its answer; lives until its callback has run.
 struct Exchange {
   SoupMessage* message = nullptr;
   GCancellable* cancellable = nullptr;
   GSource* timer = nullptr;
+  GInputStream* stream = nullptr;
+  size_t max_body_bytes = 0;
+  HttpReply reply;
   bool sent = false;
   bool timed_out = false;
   HttpClient::Done done;
@@ -23,6 +28,7 @@
   ~Exchange() {
     g_source_destroy(timer);
     g_source_unref(timer);
+    g_clear_object(&stream);
     g_object_unref(cancellable);
     g_object_unref(message);
   }
@@ -50,29 +56,66 @@
                        : absl::UnavailableError(ec.message);
 }
 
-void OnDone(GObject* session, GAsyncResult* result, gpointer data) {
-  const std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(data));
+void Fail(const Exchange& exchange, GError* ec) {
+  const absl::Status status = ToStatus(exchange, *ec);
+  g_error_free(ec);
+  exchange.done(status);
+}
+
+void ReadMore(std::unique_ptr<Exchange> exchange);
+
+void OnRead(GObject* stream, GAsyncResult* result, gpointer data) {
+  std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(data));
   GError* ec = nullptr;
   GBytes* bytes =
-      soup_session_send_and_read_finish(SOUP_SESSION(session), result, &ec);
+      g_input_stream_read_bytes_finish(G_INPUT_STREAM(stream), result, &ec);
   if (bytes == nullptr) {
-    const absl::Status status = ToStatus(*exchange, *ec);
-    g_error_free(ec);
-    exchange->done(status);
+    Fail(*exchange, ec);
     return;
   }
-  HttpReply reply;
-  reply.status = static_cast<int>(soup_message_get_status(exchange->message));
   gsize n = 0;
-  const auto* body = static_cast<const char*>(g_bytes_get_data(bytes, &n));
-  reply.body.assign(body == nullptr ? "" : body, n);
+  const auto* buf = static_cast<const char*>(g_bytes_get_data(bytes, &n));
+  std::string& body = exchange->reply.body;
+  const bool fits = n <= exchange->max_body_bytes - body.size();
+  if (fits && n > 0) {
+    body.append(buf, n);
+  }
   g_bytes_unref(bytes);
+  if (!fits) {
+    exchange->done(absl::UnknownError("the answer's body is too large"));
+    return;
+  }
+  if (n == 0) {
+    exchange->done(std::move(exchange->reply));
+    return;
+  }
+  ReadMore(std::move(exchange));
+}
+
+void ReadMore(std::unique_ptr<Exchange> exchange) {
+  GInputStream* stream = exchange->stream;
+  GCancellable* cancellable = exchange->cancellable;
+  g_input_stream_read_bytes_async(stream, kReadBytes, G_PRIORITY_DEFAULT,
+                                  cancellable, OnRead, exchange.release());
+}
+
+void OnSent(GObject* session, GAsyncResult* result, gpointer data) {
+  std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(data));
+  GError* ec = nullptr;
+  exchange->stream =
+      soup_session_send_finish(SOUP_SESSION(session), result, &ec);
+  if (exchange->stream == nullptr) {
+    Fail(*exchange, ec);
+    return;
+  }
+  HttpReply& reply = exchange->reply;
+  reply.status = static_cast<int>(soup_message_get_status(exchange->message));
   SoupMessageHeaders* headers =
       soup_message_get_response_headers(exchange->message);
   const char* type = soup_message_headers_get_one(headers, "Content-Type");
   reply.content_type = type == nullptr ? "" : type;
   reply.not_run = soup_message_headers_get_one(headers, "X-Not-Run") != nullptr;
-  exchange->done(std::move(reply));
+  ReadMore(std::move(exchange));
 }
 
 }  // namespace
@@ -104,6 +147,7 @@
   auto* exchange = new Exchange;
   exchange->message = message;
   exchange->cancellable = g_cancellable_new();
+  exchange->max_body_bytes = request.max_body_bytes;
   exchange->done = std::move(done);
   exchange->timer =
       g_timeout_source_new(static_cast<guint>(request.timeout.count()));
@@ -121,8 +165,8 @@
         message, request.content_type.c_str(), body);
     g_bytes_unref(body);
   }
-  soup_session_send_and_read_async(session_, message, G_PRIORITY_DEFAULT,
-                                   exchange->cancellable, OnDone, exchange);
+  soup_session_send_async(session_, message, G_PRIORITY_DEFAULT,
+                          exchange->cancellable, OnSent, exchange);
 }
 
 }  // namespace tamaracktrail
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -1,6 +1,7 @@
 #ifndef TRANSPORT_HTTP_CLIENT_H_
 #define TRANSPORT_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -24,6 +25,8 @@
     std::string content_type = "application/json";
     std::map<std::string, std::string> headers;
     Millis timeout{5000};  //!< For the complete exchange.
+    //! A larger body of the answer fails the exchange.
+    size_t max_body_bytes = 64 * 1024 * 1024;
   };
 
   using Done = std::function<void(absl::StatusOr<HttpReply>)>;
@@ -36,7 +39,7 @@
 
   //! Calls `done` once, on this task. kUnavailable: no connection;
   //! kDeadlineExceeded: `timeout` passed; kUnknown: failed after bytes were
-  //! sent; kInvalidArgument: not a URL (`done` runs before Send returns). Calls
+  //! sent, or the answer's body is too large; kInvalidArgument: not a URL (`done` runs before Send returns). Calls
   //! in progress when the client is destroyed get kCancelled.
   void Send(const Request& request, Done done);
 
--- a/src/transport/internal/upstream_call.cpp
+++ b/src/transport/internal/upstream_call.cpp
@@ -17,6 +17,8 @@
 
 constexpr gsize kReadBytes = 32 * 1024;
 constexpr size_t kMaxPlainBodyBytes = 64 * 1024 * 1024;
+//! Size limit of one event; events have a few kilobytes at most.
+constexpr size_t kMaxEventBytes = 256 * 1024;
 const char kDoneMarker[] = "[DONE]";
 
 }  // namespace
@@ -191,6 +193,9 @@
     }
     OnStreamEvent(event);
   }
+  if (parser.pending_bytes() > kMaxEventBytes) {
+    Fail();
+  }
 }
 
 void UpstreamCall::State::OnStreamEvent(const SseEvent& event) {
@@ -234,11 +239,17 @@
     Fail();
     return;
   }
+  try {
+    const nlohmann::json& usage = parsed["usage"];
+    end.prompt_tokens = usage.value("prompt_tokens", int64_t{0});
+    end.completion_tokens = usage.value("completion_tokens", int64_t{0});
+  } catch (const nlohmann::json::exception&) {
+    // The values have other types than numbers.
+    Fail();
+    return;
+  }
   usage_received = true;
   end.data = data;
-  end.prompt_tokens = parsed["usage"].value("prompt_tokens", int64_t{0});
-  end.completion_tokens =
-      parsed["usage"].value("completion_tokens", int64_t{0});
 }
 
 void UpstreamCall::State::OnEof() {
--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -753,7 +753,7 @@
     for (AskedWait& wait : waits) {
       if (wait.from == &from && !is_excused &&
           arrival.at - wait.asked_at > kToldGrace &&
-          ++wait.arrivals > kMaxInAskedWait) {
+          ++wait.arrivals == kMaxInAskedWait + 1) {
         AddViolation(
             absl::StrCat(it->stand_in->id(), " asked ", from.process->name(),
                          " to wait and got ", arrival.request_id, " ",
--- a/tests/transport/endless_message_test.cpp
+++ b/tests/transport/endless_message_test.cpp
@@ -3,16 +3,29 @@
 
 #include <gtest/gtest.h>
 
+#include <glib.h>
+
+#include <atomic>
+#include <functional>
+#include <future>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <string>
+#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "coordination/endpoint_observation.h"
+#include "coordination/endpoint_spec.h"
+#include "coordination/upstream_event.h"
 #include "protocol/http_reader.h"
 #include "support/loopback.h"
 #include "support/raw_endpoint.h"
+#include "transport/endpoint_prober.h"
 #include "transport/event_loop.h"
+#include "transport/http_client.h"
+#include "transport/internal/upstream_call.h"
 #include "transport/metrics.h"
 #include "transport/relay/caller_connection.h"
 #include "transport/relay/caller_request.h"
@@ -113,6 +126,116 @@
   EXPECT_LT(server.sent(), kMaxAcceptedBytes);
 }
 
+//! A RawEndpoint in a thread of its own, for clients on GLib's default context.
+class ServerThread {
+ public:
+  ServerThread(const std::string& bytes, const std::string& filler)
+      : thread_([this, bytes, filler] { Run(bytes, filler); }) {}
+  ~ServerThread() { Stop(); }
+
+  std::string address() { return address_.get_future().get(); }
+
+  //! Ends the server and returns how many bytes it has sent.
+  size_t Stop() {
+    done_ = true;
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+    return sent_;
+  }
+
+ private:
+  void Run(const std::string& bytes, const std::string& filler) {
+    EventLoop loop;
+    RawEndpoint endpoint(&loop, bytes, filler);
+    address_.set_value(endpoint.address());
+    const std::function<void()> check = [&] {
+      if (done_) {
+        loop.Quit();
+      } else {
+        loop.After(Millis(5), check);
+      }
+    };
+    check();
+    loop.Run();
+    sent_ = endpoint.sent();
+  }
+
+  std::promise<std::string> address_;
+  std::atomic<bool> done_ = false;
+  size_t sent_ = 0;
+  std::thread thread_;
+};
+
+//! Answers of endpoints' health checks and of the log are fetched in this way.
+TEST_P(EndlessAnswerTest, HttpClientGivesUp) {
+  ServerThread server(MakeBytes("HTTP/1.1 200 OK", GetParam()),
+                      GetParam().filler);
+  HttpClient client;
+  HttpClient::Request request;
+  request.url = absl::StrCat("http://", server.address(), "/");
+  request.timeout = Millis(1500);
+  request.max_body_bytes = kMebibyte;
+  std::optional<absl::Status> status;
+  client.Send(request, [&](auto reply) { status = reply.status(); });
+  while (!status) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  // libsoup takes some of these as complete; what counts is that it stops.
+  EXPECT_LT(server.Stop(), kMaxAcceptedBytes);
+}
+
+TEST(EndlessEventTest, CallOfTheOwnInterfaceFails) {
+  ServerThread server(
+      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ",
+      Repeat("x"));
+  HttpClient client;
+  UpstreamCall::Request request;
+  request.url = absl::StrCat("http://", server.address(), "/");
+  request.streamed = true;
+  std::optional<UpstreamEvent::Kind> kind;
+  bool timed_out = false;
+  const guint timer = g_timeout_add(
+      1500,
+      [](gpointer data) -> gboolean {
+        *static_cast<bool*>(data) = true;
+        return G_SOURCE_CONTINUE;
+      },
+      &timed_out);
+  auto call = std::make_unique<UpstreamCall>(
+      client.session(), request,
+      [&](const UpstreamEvent& event) { kind = event.kind; });
+  while (!kind && !timed_out) {
+    g_main_context_iteration(nullptr, TRUE);
+  }
+  g_source_remove(timer);
+  EXPECT_EQ(kind, UpstreamEvent::Kind::kConnectionLost);
+  EXPECT_LT(server.Stop(), kMaxAcceptedBytes);
+}
+
+// Guards against a health answer of the wrong types ending the process.
+TEST(HealthAnswerTest, ValuesOfOtherTypesCountAsDown) {
+  for (const char* body : {R"({"load": "many"})", R"({"leaving": "soon"})",
+                           R"({"boot_id": 7})", R"({"loaded": [1, 2]})"}) {
+    ServerThread server(
+        absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                     std::string(body).size(), "\r\n\r\n", body),
+        "");
+    HttpClient client;
+    EndpointProber prober(&client, [](const EndpointObservation&) {});
+    EndpointSpec endpoint;
+    endpoint.name = "e";
+    endpoint.address = server.address();
+    std::optional<EndpointHealth> health;
+    prober.ProbeNow(Millis(1), endpoint,
+                    [&](const EndpointObservation& it) { health = it.health; });
+    while (!health) {
+      g_main_context_iteration(nullptr, TRUE);
+    }
+    EXPECT_EQ(health, EndpointHealth::kDown) << body;
+  }
+}
+
 //! Sends bytes and then a filler until the connection ends or it has sent
 //! kMaxAcceptedBytes.
 class EndlessSender : private TcpStream::Observer {
