--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -39,8 +39,9 @@
 
   //! Calls `done` once, on this task. kUnavailable: no connection;
   //! kDeadlineExceeded: `timeout` passed; kUnknown: failed after bytes were
-  //! sent, or the answer's body is too large; kInvalidArgument: not a URL (`done` runs before Send returns). Calls
-  //! in progress when the client is destroyed get kCancelled.
+  //! sent, or the answer's body is too large; kInvalidArgument: not a URL
+  //! (`done` runs before Send returns). Calls in progress when the client is
+  //! destroyed get kCancelled.
   void Send(const Request& request, Done done);
 
   SoupSession* session() { return session_; }
--- a/tests/coordination/request_flow_test.cpp
+++ b/tests/coordination/request_flow_test.cpp
@@ -196,9 +196,9 @@
   RetryBudget exhausted(0, 0);
   RequestFlow flow(Make(true).spec(), &exhausted);
   AdvanceToRunning(flow);
-  EXPECT_NE(Find<DispatchCall>(
-                flow.OnUpstream(now_, Event(Kind::kConnectFailed))),
-            nullptr);
+  EXPECT_NE(
+      Find<DispatchCall>(flow.OnUpstream(now_, Event(Kind::kConnectFailed))),
+      nullptr);
 }
 
 TEST_F(RequestFlowTest, CrashIsRecordedBeforeARetry) {
--- a/tests/platform/front_process_test.cpp
+++ b/tests/platform/front_process_test.cpp
@@ -141,18 +141,21 @@
 TEST_F(FrontProcessTest, SurvivesATokenUsageThatOverflows) {
   UseAsEngines();
   Caller* overflowing = nullptr;
-  RunProcess([] {}, [&] {
-    overflowing = Send(
-        "POST /report/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: id-0\r\n"
-        "Authorization: Bearer key-1\r\nX-Model: m\r\n"
-        "X-Token-Usage: 5,9223372036854775807\r\nContent-Length: 0\r\n\r\n");
-    AwaitOver(overflowing, [this] {
-      for (StandInEndpoint* it : {&a_, &b_}) {
-        PutEndpoint(*it, "app", 3, false);
-      }
-      loop_.After(Millis(800), [this] { Finish(); });
-    });
-  });
+  RunProcess([] {},
+             [&] {
+               overflowing = Send(
+                   "POST /report/x HTTP/1.1\r\nHost: "
+                   "h.example\r\nX-Request-Id: id-0\r\n"
+                   "Authorization: Bearer key-1\r\nX-Model: m\r\n"
+                   "X-Token-Usage: 5,9223372036854775807\r\nContent-Length: "
+                   "0\r\n\r\n");
+               AwaitOver(overflowing, [this] {
+                 for (StandInEndpoint* it : {&a_, &b_}) {
+                   PutEndpoint(*it, "app", 3, false);
+                 }
+                 loop_.After(Millis(800), [this] { Finish(); });
+               });
+             });
   EXPECT_TRUE(process_->running());
   EXPECT_EQ(overflowing->status(), 400);
   EXPECT_TRUE(Served());
