--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -38,13 +38,16 @@
 INSTANTIATE_TEST_SUITE_P(
     All,
     InvalidSettingsTest,
-    testing::Values(InvalidSettings{"no_name", "name = n-1\n", ""},
-                    InvalidSettings{"slash", "n-1", "n/1"},
-                    InvalidSettings{"address", "10.0.0.2:90", "store"},
-                    InvalidSettings{"ratio", "ratio = 0.2", "ratio = 2"},
-                    InvalidSettings{"descriptors", "4100", "-1"},
-                    InvalidSettings{"unknown_key", "extra = 56",
-                                    "extra = 56\nother = 1"}),
+    testing::Values(
+        InvalidSettings{"no_name", "name = n-1\n", ""},
+        InvalidSettings{"slash", "n-1", "n/1"},
+        InvalidSettings{"address", "10.0.0.2:90", "store"},
+        InvalidSettings{"ratio", "ratio = 0.2", "ratio = 2"},
+        InvalidSettings{"descriptors", "4100", "-1"},
+        InvalidSettings{"first_start", "name = n-1\n",
+                        "name = n-1\nfirst_start = 2\n"},
+        InvalidSettings{"window", "extra = 56", "extra = 56\nwindow_s = 0"},
+        InvalidSettings{"unknown_key", "extra = 56", "extra = 56\nother = 1"}),
     [](const auto& info) { return std::string(info.param.name); });
 
 TEST(RelaySettingsTest, ParsesValidSettings) {
@@ -62,5 +65,18 @@
   EXPECT_EQ(settings.retries.window, Millis(10000));
 }
 
+TEST(RelaySettingsTest, ParsesTheRetryWindowAndAFirstStart) {
+  std::vector<SettingFault> faults;
+  const RelaySettings settings = RelaySettings::Parse(
+      "f",
+      absl::StrReplaceAll(kValidSettings,
+                          {{"extra = 56", "extra = 56\nwindow_s = 7.5"},
+                           {"name = n-1\n", "name = n-1\nfirst_start = 1\n"}}),
+      &faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(settings.retries.window, Millis(7500));
+  EXPECT_TRUE(settings.first_start);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
