--- a/tests/soak/process_run.cpp
+++ b/tests/soak/process_run.cpp
@@ -119,8 +119,6 @@
     });
     PollTick();
     loop_.After(kWarmUp + options_.fault_time, [this] { EndAllFaults(); });
-    loop_.After(kWarmUp + options_.fault_time + kRecoveryTime,
-                [this] { CheckRecovery(); });
     loop_.Run();
     CheckResults();
     return std::move(report_);
@@ -528,6 +526,7 @@
     prepaid_tokens_ += 1000 * kSampleStreamTokens;
     PublishConfig();
     MarkAllDisturbed();
+    loop_.After(kRecoveryTime, [this] { CheckRecovery(); });
     loop_.After(kPlannedChangesDelay, [this] {
       for (const char* service : {"llm", "app"}) {
         for (Endpoint& it : endpoints_) {
--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -69,6 +70,7 @@
     ConnectionPair* pair;
     bool client;
     bool end_received = false;  //!< The other side has closed.
+    Millis deliver_at;          //!< Of the bytes that were received last.
     std::unique_ptr<TcpStream> stream;
   };
 
@@ -95,11 +97,15 @@
         }
       }
     };
-    if (proxy_->mode_ == Mode::kDelay) {
-      proxy_->loop_->After(kDelay, deliver);
-    } else {
+    // Bytes that are delayed stay before later ones.
+    const Millis now = proxy_->loop_->Now();
+    const Millis delay = proxy_->mode_ == Mode::kDelay ? kDelay : Millis(0);
+    if (to->deliver_at < now && delay == Millis(0)) {
       proxy_->loop_->Defer(deliver);
+      return;
     }
+    to->deliver_at = std::max(to->deliver_at, now + delay);
+    proxy_->loop_->After(to->deliver_at - now, deliver);
   }
 
   //! Closes both connections once the side opposite to `to` has closed and all
--- a/tests/support/fault_proxy_test.cpp
+++ b/tests/support/fault_proxy_test.cpp
@@ -42,6 +42,18 @@
   EXPECT_EQ(caller.status(), 200);
 }
 
+// Guards against events of an endpoint that arrive in another order.
+TEST_F(FaultProxyTest, DelayedBytesStayBeforeLaterOnes) {
+  server_.behaviour().event_interval = Millis(40);
+  proxy_.SetMode(FaultProxy::Mode::kDelay);
+  Caller caller(&loop_, proxy_.address(), SampleRequest("ask", "1"));
+  RunFor(Millis(230));
+  proxy_.SetMode(FaultProxy::Mode::kPass);
+  RunFor(Millis(500));
+  EXPECT_TRUE(caller.complete());
+  EXPECT_EQ(caller.answer().body(), SampleStreamBody());
+}
+
 TEST_F(FaultProxyTest, BlackholedConnectionNeverRecovers) {
   proxy_.SetMode(FaultProxy::Mode::kBlackhole);
   Caller caller(&loop_, proxy_.address(), SampleRequest("fee", "1"));
