--- a/src/coordination/fleet_part.h
+++ b/src/coordination/fleet_part.h
@@ -9,14 +9,15 @@
 
 //! This instance's part of a limit that holds for all instances together.
 //!
-//! The parts never add up to more than 1.25 times the limit, whatever instances
-//! start and stop, and however old their lists of instances are:
+//! What is not known counts against the instance, so that the parts add up to
+//! 1.25 times the limit at most while a fleet grows and lists are read late:
 //! - Without a list an instance has no part.
 //! - The number of instances never falls: instances stay listed, and a shorter
 //!   list is one from an older copy of the store.
 //! - A list counts for a time; then the part falls to a quarter.
 //! - An instance that others may not count yet has a quarter until they have
-//!   read its entry or no longer trust their lists.
+//!   read its entry or no longer trust their lists. One that starts again soon
+//!   after its first registration is taken for known.
 //!
 //! Not thread-safe.
 class FleetPart {
