--- a/review/standins-2/case_crowd.cpp
+++ b/review/standins-2/case_crowd.cpp
@@ -19,6 +19,7 @@
 constexpr int64_t kCrowdMs = 6500;
 constexpr int64_t kUsualEveryMs = 47;  // 21 requests a second.
 constexpr int kCrowdPerS = 320;
+constexpr int kCrowdThreads = 4;
 constexpr size_t kClientsThatTry = 7;
 
 int Run(const std::string& folder, const std::string& path, bool trouble) {
@@ -79,21 +80,32 @@
     }
   });
   SleepMs(2000);
-  // The crowd: one thread opens, one closes what was kept for long enough.
+  // The crowd: some threads open connections, one closes what was kept for long
+  // enough.
   std::vector<std::pair<int64_t, std::unique_ptr<Connection>>> kept;
   const int64_t crowd_at = NowMs();
   if (trouble) {
     record.Line("the crowd comes");
-    for (int n = 0; NowMs() < crowd_at + kCrowdMs; ++n) {
-      SleepUntil(crowd_at + n * 1000 / kCrowdPerS);
-      auto connection = Connection::To(front.callers());
-      if (connection != nullptr) {
-        connection->Write(head + "X-Request-Id: crowd-" + std::to_string(n) +
-                          "\r\nX-Request-Deadline: 600\r\n\r\n");
-        if (connection->ReadResponse(NowMs() + 600).status == 200) {
-          kept.emplace_back(NowMs(), std::move(connection));
+    std::vector<std::thread> openers;
+    for (int i = 0; i < kCrowdThreads; ++i) {
+      openers.emplace_back([&, i] {
+        for (int n = i; NowMs() < crowd_at + kCrowdMs; n += kCrowdThreads) {
+          SleepUntil(crowd_at + n * 1000 / kCrowdPerS);
+          auto connection = Connection::To(front.callers());
+          if (connection == nullptr) {
+            continue;
+          }
+          connection->Write(head + "X-Request-Id: crowd-" + std::to_string(n) +
+                            "\r\nX-Request-Deadline: 600\r\n\r\n");
+          if (connection->ReadResponse(NowMs() + 600).status == 200) {
+            const std::lock_guard<std::mutex> lock(mutex);
+            kept.emplace_back(NowMs(), std::move(connection));
+          }
         }
-      }
+      });
+    }
+    for (std::thread& it : openers) {
+      it.join();
     }
     record.Line("the crowd is complete, " + std::to_string(kept.size()) +
                 " of its connections are kept");
