Divert callers that fill a narrow link until a peer carries them

Cause: an instance whose link a single caller filled noticed it by attempts that ended unconnected, diverted for 3 s and took the caller back, so that the caller went from one narrow link to the next and back. Change: CallerDiversion measures the use of the own link against its width, instances report both to their data centre, and a diverted load is taken back only when no peer carries it. Off without limits.link_mbps.

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -20,6 +20,9 @@
 constexpr int64_t kDefaultWritesPerS = 800;
 constexpr int64_t kMaxCallsPerS = 1000000;
 
+//! Width of the widest link that can be set, Mbit/s.
+constexpr double kMaxLinkMbps = 1e6;
+
 constexpr int64_t kMinGraceMs = 500;
 constexpr int64_t kDefaultGraceMs = 8000;
 constexpr int64_t kMaxGraceMs = 600000;
@@ -66,6 +69,7 @@
       "store", "writes_per_s", kDefaultWritesPerS, 1, kMaxCallsPerS));
   settings.file_descriptors = static_cast<int>(ini.Integer(
       "limits", "file_descriptors", 1024, kMinDescriptors, kMaxDescriptors));
+  settings.link_mbps = ini.Number("limits", "link_mbps", 0, 0, kMaxLinkMbps);
   settings.grace_period = Millis(ini.Integer(
       "limits", "grace_ms", kDefaultGraceMs, kMinGraceMs, kMaxGraceMs));
   settings.retries.ratio = ini.Number("retries", "ratio", 0.2, 0, 1);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -60,6 +60,13 @@
   //! Time since boot, suspension included; read once per wake-up.
   Millis Now() const { return now_; }
 
+  //! Bytes that the TCP connections of this loop received and sent so far.
+  struct Traffic {
+    uint64_t received = 0;
+    uint64_t sent = 0;
+  };
+  Traffic& traffic() { return traffic_; }
+
  private:
   struct Source;
   struct Watched {
@@ -78,6 +85,7 @@
   uint32_t next_generation_ = 1;
   uint64_t next_timer_ = 1;
   Millis now_;
+  Traffic traffic_;
   std::unordered_map<int, Watched> watched_;
   std::map<TimerId, Callback> timers_;
   std::vector<Callback> deferred_;
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -12,6 +12,7 @@
 #include "coordination/endpoint_load.h"
 #include "coordination/lendable_hint.h"
 #include "coordination/lending_message.h"
+#include "coordination/link_load.h"
 #include "coordination/reported_limit.h"
 #include "coordination/suspect_crash.h"
 #include "state/millis.h"
@@ -45,11 +46,14 @@
     //! Limits that endpoints named to the sender; see EndpointLimits.
     std::vector<ReportedLimit> limits;
     std::vector<LendableHint> lendable;
+    LinkLoad link;
 
     //! Whether the reports agree in configuration version, instances, loads,
-    //! crashes and limits but for their age; the other fields are not compared.
+    //! crashes, limits but for their age, and diversion of callers; the other
+    //! fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version &&
+             link.diverts == other.link.diverts &&
              instances == other.instances && loads == other.loads &&
              crashes == other.crashes &&
              std::equal(limits.begin(), limits.end(), other.limits.begin(),
@@ -66,7 +70,7 @@
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms,
               instances, instances_age_ms, address, loads, crashes, limits,
-              lendable);
+              lendable, link);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -46,6 +46,7 @@
       shares({options.instance, options.incarnation, options.boot}),
       lending({options.instance, options.incarnation, options.peers_address},
               &shares),
+      diversion(options.link_mbps),
       crashes(UniformFraction(options.incarnation)),
       pool(event_loop,
            [this](uint64_t endpoint) {
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "coordination/budget_shares.h"
+#include "coordination/caller_diversion.h"
 #include "coordination/crash_guard.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/fleet_part.h"
@@ -43,6 +44,7 @@
     uint64_t incarnation = 0;
     std::string boot;           //!< Identifies the boot of the machine.
     std::string peers_address;  //!< Where peers reach this instance.
+    double link_mbps = 0;       //!< Of this instance; 0 if unknown.
     RetryBudgets::Limits retries;
     bool first_start = false;  //!< No instance of the fleet has run before.
   };
@@ -59,7 +61,9 @@
   void SetConfig(std::shared_ptr<const RoutingConfig> next);
 
   //! Whether callers are sent to other instances.
-  bool DivertsCallers() const { return outage.active() || congestion.active(); }
+  bool DivertsCallers() const {
+    return outage.active() || congestion.active() || diversion.active();
+  }
 
   //! Sets the number of instances that share the budgets.
   void SetInstances(int n);
@@ -100,6 +104,7 @@
   TokenLending lending;
   ShareOutage outage;
   LinkCongestion congestion;
+  CallerDiversion diversion;
   CrashGuard crashes;
   ConnectionPool pool;
   //! By service and rank; see UrgentDemand.
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -110,7 +110,8 @@
   answer_head_ = {};
   answer_head_.status = answer.status();
   answer_head_.reason = answer.reason();
-  answer_head_.close_connection = context_->congestion.active();
+  answer_head_.close_connection =
+      context_->congestion.active() || context_->diversion.active();
   if (answer_framing_ == BodyFraming::kConnectionEnd) {
     // A length or a last chunk would claim that the answer is complete.
     answer_head_.framing = BodyFraming::kConnectionEnd;
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -85,6 +85,7 @@
   std::array<char, kReadBytes> chunk;
   const ssize_t n = recv(fd_, chunk.data(), std::min(limit, chunk.size()), 0);
   if (n > 0) {
+    loop_->traffic().received += static_cast<uint64_t>(n);
     buf->append(chunk.data(), static_cast<size_t>(n));
     return ReadResult::kData;
   }
@@ -118,6 +119,7 @@
     }
     output_sent_ += static_cast<size_t>(n);
     bytes_sent_ += static_cast<uint64_t>(n);
+    loop_->traffic().sent += static_cast<uint64_t>(n);
     if (pending_bytes() > 0) {
       write_blocked_ = true;
       return true;
