--- a/src/coordination/caller_diversion.cpp
+++ b/src/coordination/caller_diversion.cpp
@@ -11,14 +11,16 @@
 //! acknowledgements, a quarter to a third of the traffic of event streams.
 constexpr double kMaxUse = 0.6;
 
-//! While a peer diverts a load, a use above this part of the width is taken for
-//! the beginning of that load: the load balancer takes up to 2 s to divert it
-//! again, and the queue of the link would grow meanwhile.
-constexpr double kArrivingUse = 0.35;
+//! While a peer diverts the load of an organisation, a use of the own link by
+//! that organisation above this part of the width is taken for the beginning of
+//! that load: the load balancer takes up to 2 s to divert it again, and the
+//! queue of the link would grow meanwhile.
+constexpr double kArrivingUse = 0.3;
 
-//! A peer that uses this part of the own width carries a load which should not
-//! come back. Below kMaxUse, as hysteresis.
-constexpr double kCarriedUse = 0.45;
+//! A peer whose link this part of the own width is used by the diverted
+//! organisation carries a load that should not come back. Below kMaxUse, as
+//! hysteresis.
+constexpr double kCarriedUse = 0.4;
 
 //! Shortest diversion. The load balancer takes up to 2 s to notice, and the
 //! load then takes a second to show at a peer.
@@ -28,14 +30,16 @@
 constexpr Millis kMaxDiversionWithoutNews{20000};
 
 //! Largest part of a data centre's instances that divert callers at once. The
-//! load balancer uses all instances if fewer than half are ready. Two instances
-//! may decide at the same moment, so this is below a quarter.
-constexpr double kMaxDivertingFraction = 0.2;
+//! load balancer uses all instances if fewer than half are ready.
+constexpr double kMaxDivertingFraction = 0.24;
 
 //! A report expires after this time; peers repeat an unchanged one after
 //! 250 ms.
 constexpr Millis kReportLifetime{600};
 
+//! Organisations with less traffic than this, bytes per second, are forgotten.
+constexpr double kMinRelayedPerSecond = 1000;
+
 constexpr double kBitsPerMbit = 1e6;
 
 double ToMbps(double bytes_per_second) {
@@ -53,6 +57,13 @@
   }
 }
 
+void CallerDiversion::OnRelayed(Millis now,
+                                uint64_t organisation,
+                                uint64_t bytes) {
+  relayed_.emplace(organisation, RateMeter(kShortTimeConstant))
+      .first->second.Add(now, static_cast<int64_t>(bytes));
+}
+
 void CallerDiversion::OnReport(Millis now,
                                uint64_t peer,
                                const LinkLoad& load) {
@@ -63,38 +74,63 @@
   return ToMbps(std::max(received_.PerSecond(now), sent_.PerSecond(now)));
 }
 
+bool CallerDiversion::IsCurrent(Millis now, const Peer& peer) const {
+  return now - peer.reported_at <= kReportLifetime;
+}
+
+CallerDiversion::Part CallerDiversion::LargestPart(Millis now) const {
+  Part part;
+  double largest = 0;
+  double sum = 0;
+  for (const auto& [organisation, meter] : relayed_) {
+    const double per_second = meter.PerSecond(now);
+    sum += per_second;
+    if (per_second > largest) {
+      largest = per_second;
+      part.organisation = organisation;
+    }
+  }
+  if (sum > 0) {
+    part.mbps = largest / sum *
+                ToMbps(std::max(received_lately_.PerSecond(now),
+                                sent_lately_.PerSecond(now)));
+  }
+  return part;
+}
+
 LinkLoad CallerDiversion::MakeReport(Millis now) const {
-  return {static_cast<float>(width_mbps_), static_cast<float>(UseMbps(now)),
-          active_};
+  const Part part = LargestPart(now);
+  LinkLoad load;
+  load.width_mbps = static_cast<float>(width_mbps_);
+  load.use_mbps = static_cast<float>(UseMbps(now));
+  load.organisation = active_ ? cause_ : part.organisation;
+  load.organisation_mbps = active_ && part.organisation != cause_
+                               ? 0
+                               : static_cast<float>(part.mbps);
+  load.diverting_ms =
+      active_ ? static_cast<int32_t>((now - active_since_).count()) : -1;
+  return load;
 }
 
 size_t CallerDiversion::CountDiverting(Millis now) const {
   return static_cast<size_t>(
       std::count_if(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return now - it.second.reported_at <= kReportLifetime &&
-               it.second.load.diverts;
+        return IsCurrent(now, it.second) && it.second.load.diverts();
       }));
 }
 
-bool CallerDiversion::HasNews(Millis now) const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-    return now - it.second.reported_at <= kReportLifetime;
-  });
-}
-
 bool CallerDiversion::IsOverloaded(Millis now) const {
   if (UseMbps(now) > kMaxUse * width_mbps_) {
     return true;
   }
-  const bool narrower_than_diverting =
-      std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-        return now - it.second.reported_at <= kReportLifetime &&
-               it.second.load.diverts &&
-               it.second.load.width_mbps >= width_mbps_;
-      });
-  const double lately = ToMbps(
-      std::max(received_lately_.PerSecond(now), sent_lately_.PerSecond(now)));
-  return narrower_than_diverting && lately > kArrivingUse * width_mbps_;
+  const Part part = LargestPart(now);
+  return part.mbps > kArrivingUse * width_mbps_ &&
+         std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
+           const LinkLoad& load = it.second.load;
+           return IsCurrent(now, it.second) && load.diverts() &&
+                  load.organisation == part.organisation &&
+                  load.width_mbps >= width_mbps_;
+         });
 }
 
 bool CallerDiversion::HasRoom(Millis now) const {
@@ -102,29 +138,41 @@
          kMaxDivertingFraction * static_cast<double>(instances_);
 }
 
-bool CallerDiversion::IsCarriedByPeer(Millis now) const {
-  return std::any_of(peers_.begin(), peers_.end(), [&](const auto& it) {
-    return now - it.second.reported_at <= kReportLifetime &&
-           it.second.load.use_mbps >= kCarriedUse * width_mbps_;
-  });
+bool CallerDiversion::LoadRemains(Millis now) const {
+  const Millis active_for = now - active_since_;
+  bool has_news = false;
+  for (const auto& [id, peer] : peers_) {
+    const LinkLoad& load = peer.load;
+    if (!IsCurrent(now, peer)) {
+      continue;
+    }
+    has_news = true;
+    const bool sends_on =
+        load.diverts() && load.diverting_ms < active_for.count();
+    const bool carries = load.organisation_mbps >= kCarriedUse * width_mbps_;
+    if (load.organisation == cause_ && (sends_on || carries)) {
+      return true;
+    }
+  }
+  return !has_news && active_for < kMaxDiversionWithoutNews;
 }
 
 void CallerDiversion::OnTick(Millis now) {
   if (width_mbps_ <= 0) {
     return;
   }
-  std::erase_if(peers_, [&](const auto& it) {
-    return now - it.second.reported_at > kReportLifetime;
+  std::erase_if(peers_,
+                [&](const auto& it) { return !IsCurrent(now, it.second); });
+  std::erase_if(relayed_, [&](const auto& it) {
+    return it.second.PerSecond(now) < kMinRelayedPerSecond;
   });
-  if (!active_) {
-    active_ = IsOverloaded(now) && HasRoom(now);
-    active_since_ = now;
+  if (active_) {
+    active_ = now - active_since_ < kMinDiversion || LoadRemains(now);
     return;
   }
-  const Millis active_for = now - active_since_;
-  active_ = active_for < kMinDiversion ||
-            (HasNews(now) ? IsCarriedByPeer(now)
-                          : active_for < kMaxDiversionWithoutNews);
+  active_ = IsOverloaded(now) && HasRoom(now);
+  active_since_ = now;
+  cause_ = LargestPart(now).organisation;
 }
 
 }  // namespace tamaracktrail
--- a/src/coordination/caller_diversion.h
+++ b/src/coordination/caller_diversion.h
@@ -18,8 +18,8 @@
 //! centre's load to one instance, whose link is too narrow, while wider ones
 //! are idle. The balancer ignores widths, so a diverted caller may come to the
 //! next narrow link. An instance therefore remains diverted until the load is
-//! gone or a peer carries it, and the next instance recognises the load sooner
-//! than a first one. Not thread-safe.
+//! gone, and the next instance recognises the load by its organisation sooner
+//! than a first one could. Not thread-safe.
 class CallerDiversion {
  public:
   //! `width_mbps`: of the link in each direction; 0 if unknown, which disables
@@ -33,6 +33,10 @@
   //! not before that of an earlier call.
   void OnTraffic(Millis now, uint64_t received, uint64_t sent);
 
+  //! Bytes of a request or an answer of an organisation, by the hash of its
+  //! name, were relayed.
+  void OnRelayed(Millis now, uint64_t organisation, uint64_t bytes);
+
   //! A peer in this data centre reported its link.
   void OnReport(Millis now, uint64_t peer, const LinkLoad& load);
 
@@ -57,17 +61,25 @@
     Millis reported_at;
     LinkLoad load;
   };
+  //! An organisation and its part of the link's use.
+  struct Part {
+    uint64_t organisation = 0;
+    double mbps = 0;
+  };
 
   static constexpr Millis kTimeConstant{1000};
   static constexpr Millis kShortTimeConstant{300};
 
+  bool IsCurrent(Millis now, const Peer& peer) const;
+  //! Returns the organisation that uses the link most, over the last 0.3 s.
+  Part LargestPart(Millis now) const;
   //! Whether the load exceeds what this link should carry.
   bool IsOverloaded(Millis now) const;
   //! Whether one more instance may divert its callers.
   bool HasRoom(Millis now) const;
-  //! Whether a peer carries a load that would overload this link.
-  bool IsCarriedByPeer(Millis now) const;
-  bool HasNews(Millis now) const;
+  //! Whether the load that was the cause would come back: a peer carries it, or
+  //! a later diversion sends it on.
+  bool LoadRemains(Millis now) const;
 
   double width_mbps_;
   size_t instances_ = 1;
@@ -75,8 +87,10 @@
   RateMeter sent_{kTimeConstant};
   RateMeter received_lately_{kShortTimeConstant};
   RateMeter sent_lately_{kShortTimeConstant};
+  std::map<uint64_t, RateMeter> relayed_;  //!< By organisation.
   std::map<uint64_t, Peer> peers_;
   Millis active_since_;
+  uint64_t cause_ = 0;  //!< Organisation whose load is diverted.
   bool active_ = false;
 };
 
--- a/src/coordination/link_load.h
+++ b/src/coordination/link_load.h
@@ -10,13 +10,22 @@
   float width_mbps = 0;  //!< 0 if unknown.
   //! Of the direction that is used more.
   float use_mbps = 0;
-  bool diverts = false;  //!< The instance sends its callers to other ones.
+  //! The organisation that uses the link most, by the hash of its name, and its
+  //! part of the use. While callers are diverted: the one that was the cause.
+  uint64_t organisation = 0;
+  float organisation_mbps = 0;
+  //! Time for which the instance has sent its callers to others; -1 if it
+  //! doesn't.
+  int32_t diverting_ms = -1;
+
+  bool diverts() const { return diverting_ms >= 0; }
 
   friend bool operator==(const LinkLoad&, const LinkLoad&) = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(width_mbps, use_mbps, diverts);
+    archive(width_mbps, use_mbps, organisation, organisation_mbps,
+            diverting_ms);
   }
 };
 
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -53,7 +53,7 @@
     //! fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version &&
-             link.diverts == other.link.diverts &&
+             link.diverts() == other.link.diverts() &&
              instances == other.instances && loads == other.loads &&
              crashes == other.crashes &&
              std::equal(limits.begin(), limits.end(), other.limits.begin(),
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -80,6 +80,9 @@
   void EndShareWait();
   void RefuseForShare();
 
+  //! Counts bytes of the request or its answer for the organisation.
+  void CountRelayed(size_t bytes) const;
+
   // Attempts.
   void Attempt();
   //! Refuses the request if the limits of the endpoints leave no room for it.
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -98,6 +98,7 @@
     return false;
   }
   Retries().OnRequest();
+  CountRelayed(request_.body->size());
   const auto prompt = context_->dialect.parse_prompt(request_.fields);
   if (!prompt.ok()) {
     Fail(400, "Bad Request", "bad_token_usage");
@@ -122,6 +123,13 @@
   return true;
 }
 
+void RelayTask::CountRelayed(size_t bytes) const {
+  if (organisation_ != nullptr) {
+    context_->diversion.OnRelayed(context_->loop->Now(),
+                                  StableHash(organisation_->name), bytes);
+  }
+}
+
 bool RelayTask::CrashesEndpoints() const {
   const Millis now = context_->loop->Now();
   const CrashSuspects& suspects = context_->crashes.suspects();
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -190,6 +190,7 @@
 }
 
 void RelayTask::OnAnswerBody(std::string* body) {
+  CountRelayed(body->size());
   if (IsStreamAnswer() && !not_event_stream_) {
     const std::string bytes = std::move(*body);
     body->clear();
--- a/tests/coordination/caller_diversion_test.cpp
+++ b/tests/coordination/caller_diversion_test.cpp
@@ -12,6 +12,10 @@
 
 constexpr Millis kTick{100};
 
+//! Organisations.
+constexpr uint64_t kHeavy = 1;
+constexpr uint64_t kOthers = 2;
+
 uint64_t Bytes(double mbps) {
   return static_cast<uint64_t>(mbps * 1e6 / 8 * 0.1);
 }
@@ -41,6 +45,10 @@
         const double load = 0.4 + (i == target ? caller_mbps : 0);
         const uint64_t n = Bytes(std::min(load, 0.9 * widths_[i]));
         instances_[i].OnTraffic(now_, n, n / 2);
+        instances_[i].OnRelayed(now_, kOthers, Bytes(0.4));
+        if (i == target) {
+          instances_[i].OnRelayed(now_, kHeavy, Bytes(caller_mbps));
+        }
         instances_[i].OnTick(now_);
         for (size_t to = 0; reports_ && to < instances_.size(); ++to) {
           if (to != i) {
@@ -146,6 +154,27 @@
   EXPECT_EQ(centre.CountDiverting(), 0U);
 }
 
+// Guards against diversions by bursts of other organisations while a heavy
+// load moves.
+TEST(CallerDiversionTest, ABurstOfAnotherOrganisationIsNotTakenForTheLoad) {
+  CallerDiversion diversion(10);
+  diversion.SetInstances(24);
+  Millis now{1000};
+  for (int i = 0; i < 30; ++i) {
+    now = now + kTick;
+    LinkLoad diverting;
+    diverting.width_mbps = 10;
+    diverting.organisation = kHeavy;
+    diverting.diverting_ms = 100 * i;
+    diversion.OnReport(now, 1, diverting);
+    diversion.OnTraffic(now, Bytes(4), Bytes(2));
+    diversion.OnRelayed(now, i < 20 ? kOthers : kHeavy, Bytes(4));
+    diversion.OnTick(now);
+    ASSERT_TRUE(i >= 20 || !diversion.active()) << i;
+  }
+  EXPECT_TRUE(diversion.active());
+}
+
 TEST(CallerDiversionTest, AnUnknownWidthDisablesTheDiversion) {
   DataCentre centre(std::vector<double>(8, 0));
   centre.Run(Millis(10000), 50);
