Diverted instances keep the connections that their link carries

Cause: with all connections closed the load of one caller passed over five narrow links and stayed at a sixth, since a quarter of a data centre must not divert at once; it came back to the first whenever the load varied. Change: connections are closed only above half of the width, and the load counts over the whole data centre.

--- a/src/coordination/caller_diversion.cpp
+++ b/src/coordination/caller_diversion.cpp
@@ -17,10 +17,14 @@
 //! queue of the link would grow meanwhile.
 constexpr double kArrivingUse = 0.3;
 
-//! A peer whose link this part of the own width is used by the diverted
-//! organisation carries a load that should not come back. Below kMaxUse, as
-//! hysteresis.
-constexpr double kCarriedUse = 0.4;
+//! Connections stay open while the link's use is below this part of its width.
+constexpr double kKeptUse = 0.5;
+
+//! The load of the diverted organisation in the data centre should not come
+//! back while it exceeds this part of the own width, nor for some time after
+//! it, since loads vary. Well below kMaxUse, as hysteresis.
+constexpr double kRemainingUse = 0.25;
+constexpr Millis kRemainingTime{3000};
 
 //! Shortest diversion. The load balancer takes up to 2 s to notice, and the
 //! load then takes a second to show at a peer.
@@ -138,22 +142,31 @@
          kMaxDivertingFraction * static_cast<double>(instances_);
 }
 
+bool CallerDiversion::ClosesConnections(Millis now) const {
+  return active_ && UseMbps(now) > kKeptUse * width_mbps_;
+}
+
 bool CallerDiversion::LoadRemains(Millis now) const {
   const Millis active_for = now - active_since_;
   bool has_news = false;
+  const Part part = LargestPart(now);
+  double load_mbps = part.organisation == cause_ ? part.mbps : 0;
   for (const auto& [id, peer] : peers_) {
     const LinkLoad& load = peer.load;
     if (!IsCurrent(now, peer)) {
       continue;
     }
     has_news = true;
-    const bool sends_on =
-        load.diverts() && load.diverting_ms < active_for.count();
-    const bool carries = load.organisation_mbps >= kCarriedUse * width_mbps_;
-    if (load.organisation == cause_ && (sends_on || carries)) {
-      return true;
+    if (load.organisation == cause_) {
+      load_mbps += load.organisation_mbps;
+      if (load.diverts() && load.diverting_ms < active_for.count()) {
+        return true;
+      }
     }
   }
+  if (load_mbps >= kRemainingUse * width_mbps_) {
+    return true;
+  }
   return !has_news && active_for < kMaxDiversionWithoutNews;
 }
 
@@ -167,11 +180,16 @@
     return it.second.PerSecond(now) < kMinRelayedPerSecond;
   });
   if (active_) {
-    active_ = now - active_since_ < kMinDiversion || LoadRemains(now);
+    if (LoadRemains(now)) {
+      load_seen_at_ = now;
+    }
+    active_ = now - active_since_ < kMinDiversion ||
+              now - load_seen_at_ < kRemainingTime;
     return;
   }
   active_ = IsOverloaded(now) && HasRoom(now);
   active_since_ = now;
+  load_seen_at_ = now;
   cause_ = LargestPart(now).organisation;
 }
 
--- a/src/coordination/caller_diversion.h
+++ b/src/coordination/caller_diversion.h
@@ -19,7 +19,9 @@
 //! are idle. The balancer ignores widths, so a diverted caller may come to the
 //! next narrow link. An instance therefore remains diverted until the load is
 //! gone, and the next instance recognises the load by its organisation sooner
-//! than a first one could. Not thread-safe.
+//! than a first one could. Open connections stay as far as the link carries
+//! them, so that the load spreads over several narrow links if there is no wide
+//! one. Not thread-safe.
 class CallerDiversion {
  public:
   //! `width_mbps`: of the link in each direction; 0 if unknown, which disables
@@ -46,6 +48,10 @@
   //! Whether callers are sent to other instances.
   bool active() const { return active_; }
 
+  //! Whether connections are to be closed after their answers, so that their
+  //! callers connect to other instances.
+  bool ClosesConnections(Millis now) const;
+
   //! Returns the load of the own link, for the peers.
   LinkLoad MakeReport(Millis now) const;
 
@@ -77,8 +83,8 @@
   bool IsOverloaded(Millis now) const;
   //! Whether one more instance may divert its callers.
   bool HasRoom(Millis now) const;
-  //! Whether the load that was the cause would come back: a peer carries it, or
-  //! a later diversion sends it on.
+  //! Whether the load that was the cause would come back: the instances still
+  //! carry much of it, or a later diversion sends it on.
   bool LoadRemains(Millis now) const;
 
   double width_mbps_;
@@ -90,7 +96,8 @@
   std::map<uint64_t, RateMeter> relayed_;  //!< By organisation.
   std::map<uint64_t, Peer> peers_;
   Millis active_since_;
-  uint64_t cause_ = 0;  //!< Organisation whose load is diverted.
+  Millis load_seen_at_;  //!< When LoadRemains held last.
+  uint64_t cause_ = 0;   //!< Organisation whose load is diverted.
   bool active_ = false;
 };
 
