--- a/src/coordination/caller_diversion.cpp
+++ b/src/coordination/caller_diversion.cpp
@@ -15,7 +15,7 @@
 //! that organisation above this part of the width is taken for the beginning of
 //! that load: the load balancer takes up to 2 s to divert it again, and the
 //! queue of the link would grow meanwhile.
-constexpr double kArrivingUse = 0.3;
+constexpr double kArrivingUse = 0.45;
 
 //! Connections beyond this part of the link's width are closed.
 constexpr double kKeptUse = 0.5;
