Send nothing new to an endpoint that announces that it leaves

Cause: answers of an endpoint that leaves carry `Server-Leaving: 1`, and nothing read it.

Change: CallDialect parses the field. An answer that carries the request's id and certainly comes from the endpoint marks the incarnation in LeavingEndpoints, a part of EndpointNotices, for good. EndpointRegistry::MayReceive then is false, whatever the directory or a peer's copy of it says, and such an engine is no source of a prefix. Open requests continue.

--- a/src/coordination/endpoint_notices.h
+++ b/src/coordination/endpoint_notices.h
@@ -7,6 +7,7 @@
 
 #include "coordination/endpoint_limits.h"
 #include "coordination/endpoint_waits.h"
+#include "coordination/leaving_endpoints.h"
 #include "state/millis.h"
 
 namespace tamaracktrail {
@@ -19,26 +20,30 @@
   const EndpointLimits& limits() const { return limits_; }
   EndpointWaits& waits() { return waits_; }
   const EndpointWaits& waits() const { return waits_; }
+  LeavingEndpoints& leaving() { return leaving_; }
+  const LeavingEndpoints& leaving() const { return leaving_; }
 
   //! Whether the endpoint takes fewer requests than this instance has.
   bool IsRestricted(Millis now, uint64_t endpoint) const {
-    return limits_.IsLimited(endpoint) || waits_.IsRestricted(now, endpoint);
+    return limits_.IsLimited(endpoint) || waits_.IsRestricted(now, endpoint) ||
+           leaving_.Contains(endpoint);
   }
 
   //! Whether a request may be sent to the endpoint now.
   bool MaySend(Millis now, uint64_t endpoint) const {
-    return limits_.MaySend(now, endpoint) && waits_.MaySend(now, endpoint);
+    return limits_.MaySend(now, endpoint) && waits_.MaySend(now, endpoint) &&
+           !leaving_.Contains(endpoint);
   }
 
   //! Requests a second that this instance may send; infinite without a
-  //! restriction.
+  //! restriction. Precondition: the endpoint does not leave.
   double RatePerSecond(Millis now, uint64_t endpoint) const {
     return std::min(limits_.OwnRate(endpoint),
                     waits_.RatePerSecond(now, endpoint));
   }
 
   //! Returns the time until a request may be sent; nullopt if this instance
-  //! sends nothing there.
+  //! sends nothing there. Precondition: the endpoint does not leave.
   std::optional<Millis> TimeToNext(Millis now, uint64_t endpoint) const {
     const auto limit = limits_.TimeToNext(now, endpoint);
     return limit ? std::max(*limit, waits_.TimeToNext(now, endpoint)) : limit;
@@ -50,7 +55,7 @@
     waits_.OnSent(now, endpoint);
   }
 
-  //! The endpoint is gone.
+  //! The directory no longer lists the endpoint. That it leaves stays known.
   void Forget(uint64_t endpoint) {
     limits_.Forget(endpoint);
     waits_.Forget(endpoint);
@@ -65,6 +70,7 @@
  private:
   EndpointLimits limits_;
   EndpointWaits waits_;
+  LeavingEndpoints leaving_;
 };
 
 }  // namespace tamaracktrail
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -175,6 +175,17 @@
              : EndpointLimits::Change::kNone;
 }
 
+bool EndpointRegistry::OnReportedLeaving(Millis now, uint64_t endpoint) {
+  return by_hash_.contains(endpoint) &&
+         notices_.leaving().OnReport(now, endpoint);
+}
+
+size_t EndpointRegistry::CountLeaving() const {
+  return static_cast<size_t>(std::count_if(
+      by_hash_.begin(), by_hash_.end(),
+      [&](const auto& it) { return notices_.leaving().Contains(it.first); }));
+}
+
 EndpointRegistry::Room EndpointRegistry::RoomOf(
     Millis now,
     const std::string& service) const {
@@ -227,6 +238,7 @@
                                   int64_t start_unix_ms) const {
   const EndpointState* state = Find(id, start_unix_ms);
   return state != nullptr && !state->entry.draining &&
+         !notices_.leaving().Contains(state->incarnation_hash) &&
          (state->missing_since == Millis(0) ||
           now - state->missing_since < kMissingGrace);
 }
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -57,7 +57,7 @@
 
   //! Returns the endpoints of a service that may receive requests, ordered by
   //! id. Suspended ones are omitted unless all are suspended, and those whose
-  //! limit is used up or that asked for nothing always.
+  //! limit is used up, that asked for nothing or that leave always.
   std::vector<const EndpointState*> Usable(Millis now,
                                            const std::string& service) const;
 
@@ -94,6 +94,12 @@
   //! for more than 30 s.
   void OnTick(Millis now);
 
+  //! A peer reported that an endpoint, which may be unknown here, leaves.
+  //! Returns whether that was not known of a known endpoint.
+  bool OnReportedLeaving(Millis now, uint64_t endpoint);
+  //! Number of known endpoints that announced that they leave.
+  size_t CountLeaving() const;
+
   //! A peer reported the limit of an endpoint, which may be unknown here.
   EndpointLimits::Change OnReportedLimit(Millis now,
                                          const ReportedLimit& reported);
--- a/src/protocol/call_dialect.h
+++ b/src/protocol/call_dialect.h
@@ -34,6 +34,9 @@
   //! Error: the field has no usable value.
   absl::StatusOr<std::optional<double>> (*parse_limit)(
       const HttpFields& fields) = nullptr;
+  //! Parses whether the endpoint announces in an answer that it leaves. Error:
+  //! the field has no usable value.
+  absl::StatusOr<bool> (*parse_leaving)(const HttpFields& fields) = nullptr;
   //! Parses the prompt description of a request; nullopt if it has none. Error:
   //! it states no usable number of tokens.
   absl::StatusOr<std::optional<PromptShape>> (*parse_prompt)(
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -45,17 +45,20 @@
     std::vector<SuspectCrash> crashes;
     //! Limits that endpoints named to the sender; see EndpointLimits.
     std::vector<ReportedLimit> limits;
+    //! Endpoints that announced to the sender that they leave, by the hash of
+    //! the incarnation; see LeavingEndpoints.
+    std::vector<uint64_t> leaving;
     std::vector<LendableHint> lendable;
     LinkLoad link;
 
     //! Whether the reports agree in configuration version, instances, loads,
-    //! crashes, limits but for their age, and diversion of callers; the other
-    //! fields are not compared.
+    //! crashes, limits but for their age, leaving endpoints and diversion of
+    //! callers; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version &&
              link.diverts() == other.link.diverts() &&
              instances == other.instances && loads == other.loads &&
-             crashes == other.crashes &&
+             crashes == other.crashes && leaving == other.leaving &&
              std::equal(limits.begin(), limits.end(), other.limits.begin(),
                         other.limits.end(),
                         [](const ReportedLimit& a, const ReportedLimit& b) {
@@ -70,7 +73,7 @@
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms,
               instances, instances_age_ms, address, loads, crashes, limits,
-              lendable, link);
+              leaving, lendable, link);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -115,6 +115,17 @@
       .Add("instances", instances);
 }
 
+void RelayContext::LogLeaving(uint64_t endpoint,
+                              const std::string& id,
+                              const std::string& source) {
+  const EndpointState* state = registry.FindByHash(endpoint);
+  LogLine(log, "endpoint_leaving")
+      .Add("endpoint", id)
+      .Add("source", source)
+      .Add("born", state == nullptr ? 0 : state->entry.start_unix_ms)
+      .Add("open", state == nullptr ? 0 : state->own_load.open);
+}
+
 double RelayContext::UrgentDemand(const std::string& service, int rank) const {
   const auto it = limited_demand.find(service);
   double per_second = 0;
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -83,6 +83,11 @@
                       const std::string& source,
                       EndpointLimits::Change change);
 
+  //! Logs that an endpoint announced that it leaves. `source`: who said so.
+  void LogLeaving(uint64_t endpoint,
+                  const std::string& id,
+                  const std::string& source);
+
   //! Requests a second, over the last seconds, for a service whose endpoints
   //! all have limits and that are more urgent than `rank`.
   double UrgentDemand(const std::string& service, int rank) const;
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -114,6 +114,7 @@
   AttemptOutcome Classify(const HttpReader& answer) const;
   //! Takes note of what the endpoint says of itself in the head of an answer.
   void ReadLimit(const HttpReader& answer);
+  void ReadLeaving(const HttpReader& answer);
   //! Takes note if the endpoint refuses and asks for nothing for a time.
   void ReadWait(const HttpReader& answer);
   //! Whether the answer is surely the endpoint's.
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -86,6 +86,7 @@
   }
   answer_outcome_ = Classify(answer);
   if (answer_outcome_ != AttemptOutcome::kMisdirected) {
+    ReadLeaving(answer);
     ReadLimit(answer);
     ReadWait(answer);
   }
@@ -126,6 +127,26 @@
   return true;
 }
 
+void RelayTask::ReadLeaving(const HttpReader& answer) {
+  const CallDialect& dialect = context_->dialect;
+  if (!ticket_ || dialect.parse_leaving == nullptr ||
+      answer.fields().Count(dialect.request_id) == 0 || !IsOwn(answer)) {
+    return;
+  }
+  const auto leaving = dialect.parse_leaving(answer.fields());
+  if (!leaving.ok()) {
+    context_->metrics->Count("endpoint_leaving_unreadable_total");
+    LogLine(context_->log, "leaving_unreadable")
+        .Add("endpoint", ticket_->id)
+        .AddQuoted("reason", std::string(leaving.status().message()));
+    return;
+  }
+  if (*leaving && context_->registry.notices().leaving().OnAnswer(
+                      context_->loop->Now(), ticket_->incarnation_hash)) {
+    context_->LogLeaving(ticket_->incarnation_hash, ticket_->id, "answer");
+  }
+}
+
 void RelayTask::ReadLimit(const HttpReader& answer) {
   const CallDialect& dialect = context_->dialect;
   if (!ticket_ || dialect.parse_limit == nullptr ||
--- a/tests/coordination/endpoint_registry_test.cpp
+++ b/tests/coordination/endpoint_registry_test.cpp
@@ -44,6 +44,57 @@
   EXPECT_FALSE(registry.MayReceive(kNow, "e", 1));
 }
 
+// Guards against requests to an endpoint that leaves: its entry in the
+// directory says so later, or never if the instance is disconnected from the
+// store.
+TEST(EndpointRegistryTest, LeavingEndpointGetsNothingWhateverTheDirectorySays) {
+  EndpointRegistry registry;
+  registry.Apply(kNow, Entry("e", 1, 1));
+  const uint64_t leaving = registry.Find("e", 1)->incarnation_hash;
+  EXPECT_TRUE(registry.notices().leaving().OnAnswer(kNow, leaving));
+  EXPECT_EQ(registry.CountLeaving(), 1U);
+  EXPECT_TRUE(registry.Usable(kNow, "llm").empty());
+  EXPECT_FALSE(registry.RoomOf(kNow, "llm").all_restricted);
+  registry.Apply(kNow, Entry("e", 1, 2));
+  registry.ApplyFromPeer(kNow, Entry("e", 1, 3));
+  EXPECT_FALSE(registry.MayReceive(kNow, "e", 1));
+  // Removed and listed again.
+  registry.Remove(kNow, "e", false);
+  registry.Apply(kNow, Entry("e", 1, 4));
+  ASSERT_NE(registry.Find("e", 1), nullptr);
+  EXPECT_FALSE(registry.MayReceive(kNow, "e", 1));
+}
+
+TEST(EndpointRegistryTest, LeavingEndsWithTheIncarnation) {
+  EndpointRegistry registry;
+  registry.Apply(kNow, Entry("e", 1, 1));
+  registry.notices().leaving().OnAnswer(
+      kNow, registry.Find("e", 1)->incarnation_hash);
+  // Another endpoint at the same address, and the same id started again.
+  registry.Apply(kNow, Entry("f", 1, 1));
+  EXPECT_TRUE(registry.MayReceive(kNow, "f", 1));
+  registry.Apply(kNow, Entry("e", 2, 1));
+  EXPECT_TRUE(registry.MayReceive(kNow, "e", 2));
+}
+
+// A report may arrive before the entry of the endpoint; it is repeated then.
+TEST(EndpointRegistryTest, PeersReportThatAKnownEndpointLeaves) {
+  EndpointRegistry told;
+  EndpointRegistry peer;
+  told.Apply(kNow, Entry("e", 1, 1));
+  told.notices().leaving().OnAnswer(kNow, told.Find("e", 1)->incarnation_hash);
+  const auto report = told.notices().leaving().MakeReport(kNow);
+  ASSERT_EQ(report.size(), 1U);
+  EXPECT_FALSE(peer.OnReportedLeaving(kNow, report[0]));
+  peer.Apply(kNow, Entry("e", 1, 1));
+  EXPECT_TRUE(peer.MayReceive(kNow, "e", 1));
+  EXPECT_TRUE(peer.OnReportedLeaving(kNow, report[0]));
+  EXPECT_FALSE(peer.OnReportedLeaving(kNow, report[0]));
+  EXPECT_FALSE(peer.MayReceive(kNow, "e", 1));
+  // A peer passes nothing on that it was not told itself.
+  EXPECT_TRUE(peer.notices().leaving().MakeReport(kNow).empty());
+}
+
 TEST(EndpointRegistryTest, OlderEntriesAreIgnored) {
   EndpointRegistry registry;
   EndpointEntry draining_entry = Entry("e", 2, 5);
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -112,6 +112,21 @@
   EXPECT_LT(other.uncached_tokens, 1000);
 }
 
+// Guards against work that is moved to an engine which leaves, and against a
+// fetch that it may break off.
+TEST(PlacementTest, LeavingEngineIsNeitherChosenNorASourceOfThePrefix) {
+  InstanceView view;
+  const PromptShape prompt = Prompt("hot", 600);
+  const Placement::Choice preferred = view.Choose(prompt);
+  view.prefix_index_.OnPromptSent(kNow,
+                                  PrefixCacheIndex::HashPrefixes(prompt.parts),
+                                  preferred.incarnation_hash);
+  view.registry_.notices().leaving().OnAnswer(kNow, preferred.incarnation_hash);
+  const Placement::Choice other = view.Choose(prompt);
+  EXPECT_NE(other.id, preferred.id);
+  EXPECT_NE(other.fetch_from, preferred.address);
+}
+
 // Many instances choose engines between two load reports of their peers, so the
 // load of peers must have the same weight as the instance's own load.
 TEST(PlacementTest, LoadReportedByPeersCountsLikeOwnLoad) {
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -104,6 +104,9 @@
     if (!endpoint_->behaviour_.limit.empty()) {
       head.fields.Add("Server-Limit", endpoint_->behaviour_.limit);
     }
+    for (const std::string& it : endpoint_->behaviour_.leaving) {
+      head.fields.Add("Server-Leaving", it);
+    }
     return head;
   }
 
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -40,6 +40,9 @@
     //! Value of the field in all answers that names how many requests a second
     //! the endpoint takes from all instances together. Empty: no field.
     std::string limit;
+    //! Values of the fields in all answers that announce that the endpoint
+    //! leaves.
+    std::vector<std::string> leaving;
     //! Sends one event of an answer without length or chunks before it crashes.
     bool event_before_crash = false;
   };
