Limit the requests to cold endpoints over all instances

Cause: cold_remaining_ms of the directory was decoded and not used. Each instance sent an endpoint that had just started its part of the full load, and 72 to 390 instances together many times what it tolerates while it is cold.

Change: services have cold_per_s. Afterwards the rate of each instance grows from its part. With cold_per_s 0 or absent nothing changes.

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -35,6 +35,11 @@
 constexpr double kDefaultRetryWindow = 10;
 constexpr double kMaxRetryWindow = 3600;
 
+//! Range of what a cold endpoint may get beyond what it tolerates.
+constexpr double kMinColdOverage = 0.1;
+constexpr double kMaxColdOverage = 100;
+constexpr double kMaxColdTolerance = 10000;
+
 std::string ReadAddress(IniReader* ini, const char* section, const char* key) {
   const std::string text = ini->String(section, key, true).value_or("");
   if (!text.empty() && !IsAddress(text)) {
@@ -77,6 +82,12 @@
   settings.retries.window =
       kSecond.Scaled(ini.Number("retries", "window_s", kDefaultRetryWindow,
                                 kMinRetryWindow, kMaxRetryWindow));
+  settings.cold_start.overage =
+      ini.Number("cold_start", "overage", settings.cold_start.overage,
+                 kMinColdOverage, kMaxColdOverage);
+  settings.cold_start.tolerance =
+      ini.Number("cold_start", "tolerance", settings.cold_start.tolerance, 0,
+                 kMaxColdTolerance);
   ini.RejectUnknownKeys();
   return settings;
 }
--- a/src/cli/relay_settings.h
+++ b/src/cli/relay_settings.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/cold_endpoints.h"
 #include "coordination/retry_budgets.h"
 #include "protocol/setting_fault.h"
 #include "state/millis.h"
@@ -25,6 +26,7 @@
   int file_descriptors = 1024;
   double link_mbps = 0;  //!< Width of the own link; 0 if unknown.
   RetryBudgets::Limits retries;
+  ColdEndpoints::Bounds cold_start;
   bool first_start = false;  //!< The whole fleet starts for the first time.
   //! From the stop signal until the platform kills the process.
   Millis grace_period;
--- a/src/coordination/endpoint_limits.cpp
+++ b/src/coordination/endpoint_limits.cpp
@@ -24,13 +24,8 @@
 constexpr double kMinPerSecond = 0.05;
 
 //! Without news of a limit for this time, instances that send nothing may have
-//! missed its end. Together they then send this fraction of it.
+//! missed its end; see Rules::stale_fraction.
 constexpr Millis kMaxNewsAge{15000};
-constexpr double kStaleFraction = 0.1;
-
-//! After the end of a limit the rate of each instance grows from its part of
-//! the limit, but at least from this.
-constexpr double kMinReturnPerSecond = 0.1;
 
 //! News are reported to the peers for this time, for those that were cut off.
 constexpr Millis kReportTime{30000};
@@ -44,6 +39,15 @@
   }
   instances_ = std::move(instances);
   self_ = self;
+  SetAllRates();
+}
+
+void EndpointLimits::SetRules(Rules rules) {
+  rules_ = std::move(rules);
+  SetAllRates();
+}
+
+void EndpointLimits::SetAllRates() {
   for (auto& [endpoint, it] : limits_) {
     if (it.ended_at == Millis(0)) {
       SetRates(endpoint, &it);
@@ -68,6 +72,17 @@
   return change;
 }
 
+EndpointLimits::Change EndpointLimits::Set(Millis now,
+                                           uint64_t endpoint,
+                                           std::optional<double> per_second) {
+  if (!per_second && !limits_.contains(endpoint)) {
+    return Change::kNone;
+  }
+  const Change change = Apply(now, endpoint, per_second);
+  limits_.at(endpoint).heard_at = now;
+  return change;
+}
+
 EndpointLimits::Change EndpointLimits::OnReport(Millis now,
                                                 const ReportedLimit& reported) {
   const auto it = limits_.find(reported.endpoint);
@@ -96,7 +111,8 @@
       return Change::kNone;
     }
     const auto n = static_cast<double>(std::max<size_t>(1, instances_.size()));
-    limit.own_rate = std::max(limit.per_second / n, kMinReturnPerSecond);
+    limit.own_rate =
+        std::max(limit.per_second / n, rules_.min_return_per_second);
     limit.tokens = FirstTokens(endpoint);
     limit.updated_at = now;
     limit.ended_at = now;
@@ -117,8 +133,9 @@
 }
 
 void EndpointLimits::SetRates(uint64_t endpoint, Limit* limit) const {
-  const double rate = std::max(limit->per_second, kMinPerSecond);
-  const size_t senders = SenderCount(rate);
+  const Division division = rules_.divide(limit->per_second);
+  const double rate = division.per_second;
+  const size_t senders = SenderCount(division.senders);
   limit->own_rate = 0;
   limit->stale_rate = 0;
   if (senders == 0) {
@@ -129,14 +146,19 @@
     limit->stale_rate = limit->own_rate;
   } else {
     limit->stale_rate =
-        kStaleFraction * rate / static_cast<double>(instances_.size());
+        rules_.stale_fraction * rate / static_cast<double>(instances_.size());
   }
 }
 
-size_t EndpointLimits::SenderCount(double per_second) const {
-  const double n = std::floor(per_second) + kSendersBeyondLimit;
-  return n >= static_cast<double>(instances_.size()) ? instances_.size()
-                                                     : static_cast<size_t>(n);
+EndpointLimits::Division EndpointLimits::DivideNamedLimit(double per_second) {
+  const double rate = std::max(per_second, kMinPerSecond);
+  return {rate, std::floor(rate) + kSendersBeyondLimit};
+}
+
+size_t EndpointLimits::SenderCount(double senders) const {
+  return senders >= static_cast<double>(instances_.size())
+             ? instances_.size()
+             : static_cast<size_t>(senders);
 }
 
 double EndpointLimits::FirstTokens(uint64_t endpoint) const {
@@ -190,6 +212,18 @@
                              : it->second.own_rate;
 }
 
+bool EndpointLimits::IsRestricted(Millis now, uint64_t endpoint) const {
+  const auto it = limits_.find(endpoint);
+  return it != limits_.end() && (it->second.ended_at == Millis(0) ||
+                                 RateOf(now, it->second) < kUnlimitedPerSecond);
+}
+
+double EndpointLimits::RatePerSecond(Millis now, uint64_t endpoint) const {
+  const auto it = limits_.find(endpoint);
+  return it == limits_.end() ? std::numeric_limits<double>::infinity()
+                             : RateOf(now, it->second);
+}
+
 std::optional<Millis> EndpointLimits::TimeToNext(Millis now,
                                                  uint64_t endpoint) const {
   const auto it = limits_.find(endpoint);
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -76,6 +76,11 @@
       // A draining endpoint does not become usable again as the same
       // incarnation.
       const bool draining = known.entry.draining || entry.draining;
+      // An entry that is read again is older, and so is its cold time.
+      if (entry.sequence > known.entry.sequence) {
+        notices_.cold().OnEntry(now, known.incarnation_hash, entry.service,
+                                entry.cold_remaining);
+      }
       known.entry = entry;
       known.entry.draining = draining;
       known.missing_since = {};
@@ -89,6 +94,8 @@
       StableHash(absl::StrCat(entry.id, "/", entry.start_unix_ms));
   fresh.known_since = now;
   by_hash_[fresh.incarnation_hash] = entry.id;
+  notices_.cold().OnEntry(now, fresh.incarnation_hash, entry.service,
+                          entry.cold_remaining);
   endpoints_.emplace(entry.id, std::move(fresh));
   return true;
 }
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -107,7 +107,8 @@
   EndpointNotices& notices() { return notices_; }
   const EndpointNotices& notices() const { return notices_; }
 
-  //! What the limits and waits of a service's endpoints leave to this instance.
+  //! What the limits, waits and cold times of a service's endpoints leave to
+  //! this instance.
   struct Room {
     bool all_restricted = false;  //!< There are endpoints, and none takes all.
     double per_second = 0;        //!< Requests that this instance may send.
--- a/src/coordination/token_bucket.cpp
+++ b/src/coordination/token_bucket.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-//! Share of a second whose requests a bucket holds.
-constexpr double kBurstSeconds = 0.1;
-
 constexpr Millis kReturnDoubling{1000};
 
 }  // namespace
--- a/src/coordination/token_bucket.h
+++ b/src/coordination/token_bucket.h
@@ -18,6 +18,9 @@
 //! comes back without a wave. Thread-safe.
 double ReturnRate(double first, Millis since);
 
+//! A bucket holds what its rate adds in this time, but at least one token.
+constexpr double kBurstSeconds = 0.1;
+
 //! A returning endpoint with this rate needs no limit any more.
 constexpr double kUnlimitedPerSecond = 50;
 
--- a/src/state/routed_service.h
+++ b/src/state/routed_service.h
@@ -10,7 +10,10 @@
 //! endpoints share.
 struct RoutedService {
   std::string name;
-  int connection_limit = 0;     //!< Connections per endpoint from all callers.
+  int connection_limit = 0;  //!< Connections per endpoint from all callers.
+  //! Requests a second that an endpoint tolerates while it is cold; 0 for no
+  //! limit.
+  double cold_per_second = 0;
   bool has_engines = false;     //!< Its endpoints are model engines.
   int slots = 0;                //!< Concurrent requests per engine.
   int64_t kv_cache_tokens = 0;  //!< Capacity of an engine's KV cache.
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -56,13 +56,21 @@
       fleet_part(event_loop->Now(),
                  options.retries.window,
                  options.first_start),
-      retry_budgets(&fleet_part, options.retries) {}
+      retry_budgets(&fleet_part, options.retries) {
+  registry.notices().cold().SetBounds(options.cold_start);
+}
 
 RelayContext::~RelayContext() = default;
 
 void RelayContext::SetConfig(std::shared_ptr<const RoutingConfig> next) {
   config = std::move(next);
   shares.SetBudgets(config->organisations());
+  std::map<std::string, double> cold_per_second;
+  for (const RoutedService& it : config->services()) {
+    cold_per_second[it.name] = it.cold_per_second;
+  }
+  registry.notices().cold().SetServices(loop->Now(),
+                                        std::move(cold_per_second));
 }
 
 void RelayContext::SetInstances(int n) {
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -11,6 +11,7 @@
 
 #include "coordination/budget_shares.h"
 #include "coordination/caller_diversion.h"
+#include "coordination/cold_endpoints.h"
 #include "coordination/crash_guard.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/fleet_part.h"
@@ -47,6 +48,7 @@
     double link_mbps = 0;       //!< Of this instance; 0 if unknown.
     RetryBudgets::Limits retries;
     bool first_start = false;  //!< No instance of the fleet has run before.
+    ColdEndpoints::Bounds cold_start;
   };
 
   //! Precondition: loop, log and metrics outlive the context.
--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -47,6 +47,10 @@
         InvalidSettings{"first_start", "name = n-1\n",
                         "name = n-1\nfirst_start = 2\n"},
         InvalidSettings{"window", "extra = 56", "extra = 56\nwindow_s = 0"},
+        InvalidSettings{"cold_overage", "[retries]",
+                        "[cold_start]\noverage = 0\n[retries]"},
+        InvalidSettings{"cold_tolerance", "[retries]",
+                        "[cold_start]\ntolerance = -1\n[retries]"},
         InvalidSettings{"unknown_key", "extra = 56", "extra = 56\nother = 1"}),
     [](const auto& info) { return std::string(info.param.name); });
 
@@ -65,6 +69,26 @@
   EXPECT_EQ(settings.retries.window, Millis(10000));
 }
 
+TEST(RelaySettingsTest, ParsesTheBoundsOfColdEndpoints) {
+  std::vector<SettingFault> faults;
+  const ColdEndpoints::Bounds defaults =
+      RelaySettings::Parse("f", kValidSettings, &faults).cold_start;
+  EXPECT_EQ(defaults.overage, 1.5);
+  EXPECT_EQ(defaults.tolerance, 5);
+  const ColdEndpoints::Bounds bounds =
+      RelaySettings::Parse(
+          "f",
+          absl::StrReplaceAll(
+              kValidSettings,
+              {{"[retries]",
+                "[cold_start]\noverage = 2\ntolerance = 0\n[retries]"}}),
+          &faults)
+          .cold_start;
+  EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(bounds.overage, 2);
+  EXPECT_EQ(bounds.tolerance, 0);
+}
+
 TEST(RelaySettingsTest, ParsesTheRetryWindowAndAFirstStart) {
   std::vector<SettingFault> faults;
   const RelaySettings settings = RelaySettings::Parse(
--- a/tests/coordination/endpoint_registry_test.cpp
+++ b/tests/coordination/endpoint_registry_test.cpp
@@ -95,6 +95,31 @@
   EXPECT_TRUE(peer.notices().leaving().MakeReport(kNow).empty());
 }
 
+// Guards against a cold time that is prolonged by reading an entry again, and
+// against one of an older incarnation.
+TEST(EndpointRegistryTest, ColdTimeFollowsTheNewestEntry) {
+  EndpointRegistry registry;
+  registry.notices().SetInstances({1}, 1);
+  registry.notices().cold().SetServices(kNow, {{"llm", 2}});
+  EndpointEntry cold_entry = Entry("e", 1, 1);
+  cold_entry.cold_remaining = Millis(2000);
+  registry.Apply(kNow, cold_entry);
+  const uint64_t hash = registry.Find("e", 1)->incarnation_hash;
+  EXPECT_TRUE(registry.RoomOf(kNow, "llm").all_restricted);
+  registry.Apply(kNow + Millis(1900), cold_entry);
+  registry.OnTick(kNow + Millis(2000));
+  EXPECT_EQ(registry.notices().cold().size(), 0U);
+  // Cold again, and then not.
+  cold_entry.sequence = 2;
+  registry.Apply(kNow + Millis(3000), cold_entry);
+  EXPECT_EQ(registry.notices().cold().size(), 1U);
+  registry.Apply(kNow + Millis(3100), Entry("e", 1, 3));
+  EXPECT_EQ(registry.notices().cold().size(), 0U);
+  EXPECT_TRUE(registry.notices().IsRestricted(kNow + Millis(3100), hash));
+  registry.Apply(kNow + Millis(3200), Entry("e", 2, 1));
+  EXPECT_FALSE(registry.RoomOf(kNow + Millis(3200), "llm").all_restricted);
+}
+
 TEST(EndpointRegistryTest, OlderEntriesAreIgnored) {
   EndpointRegistry registry;
   EndpointEntry draining_entry = Entry("e", 2, 5);
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -26,7 +26,8 @@
    "public":true}],
   "services":[{"name":"s1","connection_limit":370,
     "engine":{"slots":64,"kv_token_bytes":163840,"link_mbps":180000.0,
-              "stride":5}},{"name":"s2","connection_limit":110}],
+              "stride":5}},{"name":"s2","connection_limit":110,
+              "cold_per_s":2.5}],
   "limits":{"max_header_bytes":100,"max_body_bytes":200,
             "header_timeout_ms":3000,"idle_timeout_ms":15000},
   "tenants":[{"name":"t","api_keys":["k1","k2"],"priority":1,"prepaid":5000}]})";
@@ -49,6 +50,8 @@
   EXPECT_EQ((*config)->FindService("s1")->tokens_per_event, 5);
   EXPECT_TRUE((*config)->FindService("s1")->has_engines);
   EXPECT_FALSE((*config)->FindService("s2")->has_engines);
+  EXPECT_EQ((*config)->FindService("s1")->cold_per_second, 0);
+  EXPECT_EQ((*config)->FindService("s2")->cold_per_second, 2.5);
   EXPECT_EQ((*config)->FindOrganisationByKey("k2")->prepaid, 5000);
   EXPECT_EQ((*config)->FindOrganisationByKey("k3"), nullptr);
   EXPECT_EQ((*config)->limits().max_body_bytes, 200U);
