Measure the speed of services and engines

Cause: Placement predicted with constants (60 prompt tokens a ms, 45 ms to the first event) and a ratio for each engine from the instance's own requests. Engines in service prefill 57 to 125 tokens a ms, their first event takes 13 to 62 ms, a third of them takes 1.7 times and the others 0.7 times the usual time, and an instance has one sample of an engine in 9 s.

Change: ServiceSpeed measures base time and prefill rate of a service by regression, EndpointSpeeds the factor of each engine incarnation; both from own samples and from decayed sums in the peers' reports, which replace the last ones. Refusals, resumed streams, requests that fetch a prefix and requests behind a link in use by more than 0.7 are no samples. The timeout of the first event stays at 180 ms or more, as the constants had it.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -89,6 +89,7 @@
       StableHash(absl::StrCat(entry.id, "/", entry.start_unix_ms));
   fresh.known_since = now;
   by_hash_[fresh.incarnation_hash] = entry.id;
+  services_.try_emplace(entry.service, Service{StableHash(entry.service), {}});
   endpoints_.emplace(entry.id, std::move(fresh));
   return true;
 }
@@ -148,6 +149,7 @@
   const auto it = endpoints_.find(id);
   by_hash_.erase(it->second.incarnation_hash);
   notices_.Forget(it->second.incarnation_hash);
+  speeds_.Forget(it->second.incarnation_hash);
   endpoints_.erase(it);
 }
 
@@ -231,10 +233,12 @@
           now - state->missing_since < kMissingGrace);
 }
 
-EndpointTicket EndpointRegistry::OnSent(Millis now,
-                                        const EndpointState& chosen,
-                                        int64_t uncached_tokens,
-                                        Millis predicted) {
+EndpointTicket EndpointRegistry::OnSent(
+    Millis now,
+    const EndpointState& chosen,
+    int64_t uncached_tokens,
+    Millis predicted,
+    const std::optional<PrefillWork>& work) {
   notices_.OnSent(now, chosen.incarnation_hash);
   EndpointTicket ticket;
   ticket.id = chosen.entry.id;
@@ -243,6 +247,7 @@
   ticket.uncached_tokens = uncached_tokens;
   ticket.sent_at = now;
   ticket.predicted = predicted;
+  ticket.work = work;
   if (EndpointState* state = FindMutable(ticket.id, ticket.start_unix_ms)) {
     state->own_load.uncached_tokens += uncached_tokens;
     ++state->own_load.open;
@@ -251,7 +256,9 @@
   return ticket;
 }
 
-void EndpointRegistry::OnFirstByte(Millis now, EndpointTicket* ticket) {
+void EndpointRegistry::OnFirstByte(Millis now,
+                                   EndpointTicket* ticket,
+                                   bool shows_speed) {
   if (ticket->answered) {
     return;
   }
@@ -263,8 +270,23 @@
   }
   state->own_load.uncached_tokens -= uncached_tokens;
   RemoveFirstByteDue(*ticket, state);
+  if (!shows_speed) {
+    return;
+  }
   const auto waited = static_cast<double>(
       std::max<int64_t>(1, (now - ticket->sent_at).count()));
+  const auto service = services_.find(state->entry.service);
+  if (ticket->work && service != services_.end()) {
+    ServiceSpeed& speed = service->second.speed;
+    const auto tokens = static_cast<double>(ticket->work->tokens);
+    const double usual =
+        (speed.TimeToFirstEvent(tokens) + ticket->work->attention_ms) *
+        ticket->work->slowdown;
+    speeds_.OnSample(ticket->incarnation_hash, waited / usual);
+    speed.OnSample(tokens, std::max(1.0, waited / ticket->work->slowdown -
+                                             ticket->work->attention_ms));
+    return;
+  }
   const auto predicted =
       static_cast<double>(std::max<int64_t>(1, ticket->predicted.count()));
   const double ratio =
@@ -361,8 +383,59 @@
   known = {now, std::move(report)};
 }
 
+std::vector<ReportedServiceSpeed> EndpointRegistry::MakeServiceSpeedReport()
+    const {
+  std::vector<ReportedServiceSpeed> report;
+  for (const auto& [name, service] : services_) {
+    if (service.speed.own().weight > 0) {
+      report.push_back({service.name_hash, service.speed.own()});
+    }
+  }
+  return report;
+}
+
+void EndpointRegistry::OnReportedSpeeds(
+    uint64_t peer,
+    const std::vector<ReportedSpeed>& endpoints,
+    const std::vector<ReportedServiceSpeed>& services) {
+  for (const ReportedSpeed& it : endpoints) {
+    if (by_hash_.contains(it.endpoint)) {
+      speeds_.OnReported(peer, it);
+    }
+  }
+  for (const ReportedServiceSpeed& it : services) {
+    for (auto& [name, service] : services_) {
+      if (service.name_hash == it.service) {
+        service.speed.OnReported(peer, it.sums);
+      }
+    }
+  }
+}
+
+std::vector<std::string> EndpointRegistry::ServiceNames() const {
+  std::vector<std::string> names;
+  for (const auto& [name, service] : services_) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+const ServiceSpeed& EndpointRegistry::SpeedOf(
+    const std::string& service) const {
+  static const ServiceSpeed kInitial;
+  const auto it = services_.find(service);
+  return it == services_.end() ? kInitial : it->second.speed;
+}
+
 void EndpointRegistry::OnTick(Millis now) {
   notices_.OnTick(now);
+  speeds_.OnTick(now);
+  for (auto& [name, service] : services_) {
+    service.speed.OnTick(now);
+  }
+  for (auto& [id, state] : endpoints_) {
+    state.speed_factor = speeds_.FactorOf(state.incarnation_hash);
+  }
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
     if (state.missing_since > Millis(0) &&
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,13 +15,6 @@
 
 namespace {
 
-//! Prompt tokens that an engine prefills per millisecond. Engine types prefill
-//! 61 to 68; the latency ratio of each endpoint corrects for its actual speed.
-constexpr double kPrefillTokensPerMs = 60;
-
-//! Time from the send to the first event with no tokens to prefill, ms.
-constexpr double kFirstEventBaseMs = 45;
-
 //! Each open request of an engine slows its steps by this fraction.
 constexpr double kStepSlowdownPerRequest = 0.004;
 
@@ -76,10 +69,9 @@
 //! engine's cache.
 constexpr Millis kPrefixCacheLifetime{20000};
 
-double PrefillMs(int64_t tokens) {
+double AttentionMs(int64_t tokens) {
   const double k_tokens = static_cast<double>(tokens) / 1000;
-  return static_cast<double>(tokens) / kPrefillTokensPerMs +
-         kAttentionSecondsPerKTokensSquared * 1000 * k_tokens * k_tokens;
+  return kAttentionSecondsPerKTokensSquared * 1000 * k_tokens * k_tokens;
 }
 
 double HealthCostMs(Millis now, const EndpointState& state) {
@@ -99,6 +91,7 @@
   double cost_ms = 0;           //!< Prediction with all penalties.
   double predicted_ms = 0;      //!< To the first event.
   int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
+  PrefillWork work;             //!< Of an engine.
   //! Engine to fetch the shared prefix from; nullptr for none.
   const EndpointState* fetch_from = nullptr;
 };
@@ -146,6 +139,7 @@
 Placement::Estimate Placement::EstimateEngine(
     Millis now,
     const Request& request,
+    const ServiceSpeed& speed,
     const EndpointState& state,
     const EndpointState* preferred) const {
   const PromptShape& prompt = *request.prompt;
@@ -178,14 +172,14 @@
   const bool fetches = estimate.fetch_from != nullptr;
   estimate.uncached_tokens = std::max<int64_t>(
       0, prompt.prompt_tokens - (fetches ? shared_tokens : cached_tokens));
-  const double latency_factor =
-      state.latency_ratio * (1 + kStepSlowdownPerRequest * state.open());
-  const double queued_ms =
-      static_cast<double>(std::max<int64_t>(0, state.uncached_tokens())) /
-      kPrefillTokensPerMs;
+  estimate.work.tokens =
+      std::max<int64_t>(0, state.uncached_tokens()) + estimate.uncached_tokens;
+  estimate.work.slowdown = 1 + kStepSlowdownPerRequest * state.open();
+  estimate.work.attention_ms = AttentionMs(estimate.uncached_tokens);
   estimate.predicted_ms =
-      (kFirstEventBaseMs + queued_ms + PrefillMs(estimate.uncached_tokens)) *
-          latency_factor +
+      (speed.TimeToFirstEvent(static_cast<double>(estimate.work.tokens)) +
+       estimate.work.attention_ms) *
+          estimate.work.slowdown * state.speed_factor +
       fetch_ms;
   estimate.cost_ms =
       estimate.predicted_ms +
@@ -233,11 +227,12 @@
 Placement::Estimate Placement::EstimateEndpoint(
     Millis now,
     const Request& request,
+    const ServiceSpeed& speed,
     const EndpointState& state,
     const EndpointState* preferred) const {
   Estimate estimate;
   if (request.prompt != nullptr && request.service->has_engines) {
-    estimate = EstimateEngine(now, request, state, preferred);
+    estimate = EstimateEngine(now, request, speed, state, preferred);
   } else {
     estimate.predicted_ms = EstimateWithoutPrefill(state);
     estimate.cost_ms = estimate.predicted_ms;
@@ -258,6 +253,7 @@
   const auto usable = registry_->Usable(now, request.service->name);
   const EndpointState* preferred =
       request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
+  const ServiceSpeed& speed = registry_->SpeedOf(request.service->name);
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double min_cost = std::numeric_limits<double>::infinity();
@@ -267,7 +263,8 @@
         request.tried->contains(state.incarnation_hash)) {
       continue;
     }
-    const Estimate estimate = EstimateEndpoint(now, request, state, preferred);
+    const Estimate estimate =
+        EstimateEndpoint(now, request, speed, state, preferred);
     // The fraction of this product gives each endpoint its own random cost from
     // one random number.
     const double scaled_jitter = jitter * static_cast<double>(i + 1);
@@ -292,6 +289,8 @@
   choice.uncached_tokens = chosen_estimate.uncached_tokens;
   if (chosen_estimate.fetch_from != nullptr) {
     choice.fetch_from = chosen_estimate.fetch_from->entry.address;
+  } else if (request.prompt != nullptr && request.service->has_engines) {
+    choice.work = chosen_estimate.work;
   }
   return choice;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/prefill_work.h"
 #include "coordination/prompt_shape.h"
 #include "state/millis.h"
 
@@ -14,6 +15,7 @@
 
 class EndpointRegistry;
 class PrefixCacheIndex;
+class ServiceSpeed;
 struct EndpointState;
 struct RoutedService;
 
@@ -44,6 +46,8 @@
     //! without engines.
     Millis predicted;
     int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
+    //! For engines, unless the request fetches a prefix: to measure the speed.
+    std::optional<PrefillWork> work;
     //! Address of the engine to fetch the shared prefix from, or "".
     std::string fetch_from;
   };
@@ -74,10 +78,12 @@
                                         const EndpointState* preferred) const;
   Estimate EstimateEngine(Millis now,
                           const Request& request,
+                          const ServiceSpeed& speed,
                           const EndpointState& state,
                           const EndpointState* preferred) const;
   Estimate EstimateEndpoint(Millis now,
                             const Request& request,
+                            const ServiceSpeed& speed,
                             const EndpointState& state,
                             const EndpointState* preferred) const;
   //! Returns the engine that all instances prefer for the request's session;
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -14,6 +14,8 @@
 #include "coordination/lending_message.h"
 #include "coordination/link_load.h"
 #include "coordination/reported_limit.h"
+#include "coordination/reported_service_speed.h"
+#include "coordination/reported_speed.h"
 #include "coordination/suspect_crash.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
@@ -47,6 +49,9 @@
     std::vector<ReportedLimit> limits;
     std::vector<LendableHint> lendable;
     LinkLoad link;
+    //! Measured speeds of some endpoints, and of all services with samples.
+    std::vector<ReportedSpeed> speeds;
+    std::vector<ReportedServiceSpeed> service_speeds;
 
     //! Whether the reports agree in configuration version, instances, loads,
     //! crashes, limits but for their age, and diversion of callers; the other
@@ -70,7 +75,7 @@
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, directory_age_ms,
               instances, instances_age_ms, address, loads, crashes, limits,
-              lendable, link);
+              lendable, link, speeds, service_speeds);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -50,6 +50,9 @@
 //! is at most a fraction of the remaining time, but not below a minimum.
 constexpr int64_t kFirstByteTimeoutFactor = 4;
 constexpr Millis kMinFirstByteTimeout{150};
+//! The same for engines: a prompt of another instance, which this one does not
+//! know yet, may delay the first event by 100 ms.
+constexpr Millis kMinFirstEventTimeout{180};
 constexpr double kMaxFirstByteTimeoutFraction = 0.4;
 
 //! A request is refused if its first event is predicted after more than this
@@ -299,7 +302,8 @@
       .Add("fetch_from", choice.fetch_from)
       .Add("left_ms", Remaining());
   ticket_ = context_->registry.OnSent(now, state, choice.uncached_tokens,
-                                      choice.predicted);
+                                      choice.predicted,
+                                      head_sent_ ? std::nullopt : choice.work);
   context_->prefix_cache_index.OnPromptSent(now, prefix_hashes_,
                                             choice.incarnation_hash);
   EndpointCall::Options options;
@@ -378,7 +382,7 @@
     return;
   }
   const Millis timeout =
-      std::max(kMinFirstByteTimeout,
+      std::max(prompt_ ? kMinFirstEventTimeout : kMinFirstByteTimeout,
                std::min(predicted * kFirstByteTimeoutFactor,
                         Remaining().Scaled(kMaxFirstByteTimeoutFraction)));
   first_byte_timer_ =
