Exclude the endpoints of evacuated data centres

Cause: nothing decided that a data centre gets no requests. MayReceive, and with it Usable and RoomOf, leaves its endpoints out; Placement fetches no prefix from them.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -227,6 +227,7 @@
                                   int64_t start_unix_ms) const {
   const EndpointState* state = Find(id, start_unix_ms);
   return state != nullptr && !state->entry.draining &&
+         !evacuated_.Contains(state->entry.data_centre) &&
          (state->missing_since == Millis(0) ||
           now - state->missing_since < kMissingGrace);
 }
@@ -363,6 +364,7 @@
 
 void EndpointRegistry::OnTick(Millis now) {
   notices_.OnTick(now);
+  evacuated_.OnTick(now);
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
     if (state.missing_since > Millis(0) &&
@@ -383,6 +385,13 @@
   }
 }
 
+int64_t EndpointRegistry::CountIn(const std::string& data_centre) const {
+  return std::count_if(endpoints_.begin(), endpoints_.end(),
+                       [&](const auto& it) {
+                         return it.second.entry.data_centre == data_centre;
+                       });
+}
+
 int64_t EndpointRegistry::open() const {
   int64_t n = 0;
   for (const auto& [id, state] : endpoints_) {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -11,6 +11,7 @@
 #include "coordination/endpoint_notices.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
+#include "coordination/evacuated_data_centres.h"
 #include "state/endpoint_entry.h"
 #include "state/millis.h"
 
@@ -101,6 +102,13 @@
   EndpointNotices& notices() { return notices_; }
   const EndpointNotices& notices() const { return notices_; }
 
+  //! Data centres whose endpoints may receive nothing.
+  EvacuatedDataCentres& evacuated() { return evacuated_; }
+  const EvacuatedDataCentres& evacuated() const { return evacuated_; }
+
+  //! Endpoints in a data centre, also those that may receive nothing.
+  int64_t CountIn(const std::string& data_centre) const;
+
   //! What the limits and waits of a service's endpoints leave to this instance.
   struct Room {
     bool all_restricted = false;  //!< There are endpoints, and none takes all.
@@ -134,6 +142,7 @@
   std::map<std::string, std::pair<int64_t, int64_t>> removed_;
   std::map<uint64_t, PeerLoad> peers_;
   EndpointNotices notices_;
+  EvacuatedDataCentres evacuated_;
 };
 
 //! Returns the smoothed failure rate of an endpoint at `now`. It decays while
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -134,6 +134,7 @@
       const EndpointState* state = registry_->FindByHash(it.endpoint);
       if (state != nullptr && now - it.last_used < kPrefixCacheLifetime &&
           it.last_used > latest_use && now >= state->suspended_until &&
+          !registry_->evacuated().Contains(state->entry.data_centre) &&
           !registry_->notices().IsRestricted(now, it.endpoint)) {
         found = state;
         latest_use = it.last_used;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -68,7 +68,8 @@
                        uint64_t prefix,
                        const EndpointState& state) const;
   //! Returns the engine that used the prefix last, if that was within the cache
-  //! lifetime and the engine is not suspended; else `preferred`.
+  //! lifetime and the engine is neither suspended nor evacuated; else
+  //! `preferred`.
   const EndpointState* FindPrefixSource(Millis now,
                                         uint64_t prefix,
                                         const EndpointState* preferred) const;
--- a/tests/coordination/endpoint_registry_test.cpp
+++ b/tests/coordination/endpoint_registry_test.cpp
@@ -44,6 +44,46 @@
   EXPECT_FALSE(registry.MayReceive(kNow, "e", 1));
 }
 
+TEST(EndpointRegistryTest, EndpointsOfEvacuatedDataCentreGetNoRequests) {
+  EndpointRegistry registry;
+  registry.Apply(kNow, Entry("e", 1, 1));
+  EndpointEntry elsewhere = Entry("f", 1, 1);
+  elsewhere.data_centre = "b";
+  registry.Apply(kNow, elsewhere);
+  EXPECT_EQ(registry.CountIn("a"), 1);
+  registry.evacuated().OnRecord({0, 1}, "a", true);
+  EXPECT_FALSE(registry.MayReceive(kNow, "e", 1));
+  ASSERT_EQ(registry.Usable(kNow, "llm").size(), 1U);
+  EXPECT_EQ(registry.Usable(kNow, "llm")[0]->entry.id, "f");
+  // Suspended endpoints may receive requests if all are suspended, evacuated
+  // ones must not.
+  EndpointTicket ticket = SendOne(&registry, "f");
+  registry.OnEnded(kNow, &ticket, EndpointOutcome::kUnreachable);
+  ASSERT_EQ(registry.Usable(kNow, "llm").size(), 1U);
+  registry.evacuated().OnRecord({0, 2}, "b", true);
+  EXPECT_TRUE(registry.Usable(kNow, "llm").empty());
+  // A new incarnation is in the same data centre.
+  registry.Apply(kNow, Entry("e", 2, 1));
+  EXPECT_FALSE(registry.MayReceive(kNow, "e", 2));
+  registry.evacuated().OnRecord({0, 3}, "a", false);
+  EXPECT_TRUE(registry.MayReceive(kNow, "e", 2));
+}
+
+// Guards against a service whose remaining endpoints have limits and that
+// counts as unrestricted because of the evacuated ones.
+TEST(EndpointRegistryTest, EvacuatedEndpointsLeaveNoRoom) {
+  EndpointRegistry registry;
+  registry.Apply(kNow, Entry("e", 1, 1));
+  EndpointEntry elsewhere = Entry("f", 1, 1);
+  elsewhere.data_centre = "b";
+  registry.Apply(kNow, elsewhere);
+  registry.notices().limits().OnAnswer(
+      kNow, registry.Find("f", 1)->incarnation_hash, kNow, 10.0);
+  EXPECT_FALSE(registry.RoomOf(kNow, "llm").all_restricted);
+  registry.evacuated().OnRecord({0, 1}, "a", true);
+  EXPECT_TRUE(registry.RoomOf(kNow, "llm").all_restricted);
+}
+
 TEST(EndpointRegistryTest, OlderEntriesAreIgnored) {
   EndpointRegistry registry;
   EndpointEntry draining_entry = Entry("e", 2, 5);
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -112,6 +112,28 @@
   EXPECT_LT(other.uncached_tokens, 1000);
 }
 
+// Guards against a prefix that is fetched from an engine in a data centre that
+// is evacuated: the fetch is work for that engine.
+TEST(PlacementTest, PrefixIsNotFetchedFromEvacuatedEngine) {
+  InstanceView view;
+  const PromptShape prompt = Prompt("hot", 600);
+  const Placement::Choice first = view.Choose(prompt);
+  view.prefix_index_.OnPromptSent(kNow,
+                                  PrefixCacheIndex::HashPrefixes(prompt.parts),
+                                  first.incarnation_hash);
+  EndpointEntry moved = view.registry_.Find(first.id, 1)->entry;
+  moved.data_centre = "b";
+  moved.sequence = 2;
+  view.registry_.Apply(kNow, moved);
+  view.registry_.OnSent(kNow, *view.registry_.Find(first.id, 1), 60000,
+                        Millis(1000));
+  EXPECT_EQ(view.Choose(prompt).fetch_from, first.address);
+  view.registry_.evacuated().OnRecord({0, 1}, "b", true);
+  const Placement::Choice other = view.Choose(prompt);
+  EXPECT_NE(other.id, first.id);
+  EXPECT_NE(other.fetch_from, first.address);
+}
+
 // Many instances choose engines between two load reports of their peers, so the
 // load of peers must have the same weight as the instance's own load.
 TEST(PlacementTest, LoadReportedByPeersCountsLikeOwnLoad) {
