Follow evacuations in the operator's topic and through peers

Cause: records evacuate/ZONE were ignored. Reports carry position and digest of the set; an instance that is behind and can't read the store fetches it from the peer.

--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr char kConfigPath[] = "/config";
+constexpr char kEvacuationsPath[] = "/evacuations";
 constexpr char kEndpointsPath[] = "/endpoints";
 
 //! Limit of simultaneous connections from peers. All other instances of a data
@@ -65,11 +66,7 @@
           fd,
           kMaxConnections,
           [this](CallerConnection* connection, const CallerRequest& request) {
-            const bool is_config = request.target == kConfigPath;
-            const bool is_known = is_config || request.target == kEndpointsPath;
-            const Records records = !is_known   ? Records()
-                                    : is_config ? hooks_.config()
-                                                : hooks_.endpoints();
+            const Records records = RecordsAt(request.target);
             return std::make_unique<FixedAnswerTask>(
                 connection, records.empty() ? 404 : 200, Encode(records));
           },
@@ -77,10 +74,22 @@
 
 PeerExchange::~PeerExchange() = default;
 
+PeerExchange::Records PeerExchange::RecordsAt(const std::string& path) const {
+  const auto& serve = path == kConfigPath        ? hooks_.config
+                      : path == kEvacuationsPath ? hooks_.evacuations
+                      : path == kEndpointsPath   ? hooks_.endpoints
+                                                 : nullptr;
+  return serve == nullptr ? Records() : serve();
+}
+
 void PeerExchange::FetchConfig(const std::string& peer) {
   Fetch(peer, kConfigPath, &config_fetch_, hooks_.on_config);
 }
 
+void PeerExchange::FetchEvacuations(const std::string& peer) {
+  Fetch(peer, kEvacuationsPath, &evacuation_fetch_, hooks_.on_evacuations);
+}
+
 void PeerExchange::FetchEndpoints(const std::string& peer) {
   Fetch(peer, kEndpointsPath, &endpoint_fetch_, hooks_.on_endpoints);
 }
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -15,6 +15,7 @@
 #include "coordination/link_load.h"
 #include "coordination/reported_limit.h"
 #include "coordination/suspect_crash.h"
+#include "coordination/topic_position.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/io_handler.h"
@@ -32,6 +33,9 @@
     uint64_t incarnation = 0;
     std::string instance;
     int64_t config_version = 0;
+    //! Position and digest of the sender's set of evacuated data centres.
+    TopicPosition evacuations_as_of;
+    uint64_t evacuations_digest = 0;
     //! Time since the sender's endpoint directory was last known to be
     //! complete.
     int64_t directory_age_ms = 0;
@@ -48,11 +52,13 @@
     std::vector<LendableHint> lendable;
     LinkLoad link;
 
-    //! Whether the reports agree in configuration version, instances, loads,
-    //! crashes, limits but for their age, and diversion of callers; the other
-    //! fields are not compared.
+    //! Whether the reports agree in configuration version, evacuations,
+    //! instances, loads, crashes, limits but for their age, and diversion of
+    //! callers; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version &&
+             evacuations_as_of == other.evacuations_as_of &&
+             evacuations_digest == other.evacuations_digest &&
              link.diverts() == other.link.diverts() &&
              instances == other.instances && loads == other.loads &&
              crashes == other.crashes &&
@@ -68,9 +74,9 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(incarnation, instance, config_version, directory_age_ms,
-              instances, instances_age_ms, address, loads, crashes, limits,
-              lendable, link);
+      archive(incarnation, instance, config_version, evacuations_as_of,
+              evacuations_digest, directory_age_ms, instances, instances_age_ms,
+              address, loads, crashes, limits, lendable, link);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
