--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -248,6 +248,7 @@
   const EndpointState* state = Find(id, start_unix_ms);
   return state != nullptr && !state->entry.draining &&
          !notices_.leaving().Contains(state->incarnation_hash) &&
+         !evacuated_.Contains(state->entry.data_centre) &&
          (state->missing_since == Millis(0) ||
           now - state->missing_since < kMissingGrace);
 }
@@ -455,6 +456,7 @@
   for (auto& [id, state] : endpoints_) {
     state.speed_factor = speeds_.FactorOf(state.incarnation_hash);
   }
+  evacuated_.OnTick(now);
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
     if (state.missing_since > Millis(0) &&
@@ -475,6 +477,13 @@
   }
 }
 
+int64_t EndpointRegistry::CountIn(const std::string& data_centre) const {
+  return std::count_if(endpoints_.begin(), endpoints_.end(),
+                       [&](const auto& it) {
+                         return it.second.entry.data_centre == data_centre;
+                       });
+}
+
 int64_t EndpointRegistry::open() const {
   int64_t n = 0;
   for (const auto& [id, state] : endpoints_) {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -13,6 +13,7 @@
 #include "coordination/endpoint_speeds.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
+#include "coordination/evacuated_data_centres.h"
 #include "coordination/prefill_work.h"
 #include "coordination/reported_service_speed.h"
 #include "coordination/service_speed.h"
@@ -127,6 +128,13 @@
   EndpointNotices& notices() { return notices_; }
   const EndpointNotices& notices() const { return notices_; }
 
+  //! Data centres whose endpoints may receive nothing.
+  EvacuatedDataCentres& evacuated() { return evacuated_; }
+  const EvacuatedDataCentres& evacuated() const { return evacuated_; }
+
+  //! Endpoints in a data centre, also those that may receive nothing.
+  int64_t CountIn(const std::string& data_centre) const;
+
   //! What the limits, waits and cold times of a service's endpoints leave to
   //! this instance.
   struct Room {
@@ -167,6 +175,7 @@
   EndpointNotices notices_;
   EndpointSpeeds speeds_;
   std::map<std::string, Service> services_;  //!< By name.
+  EvacuatedDataCentres evacuated_;
 };
 
 //! Returns the smoothed failure rate of an endpoint at `now`. It decays while
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -17,6 +17,7 @@
 #include "coordination/reported_service_speed.h"
 #include "coordination/reported_speed.h"
 #include "coordination/suspect_crash.h"
+#include "coordination/topic_position.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
 #include "transport/io_handler.h"
@@ -34,6 +35,9 @@
     uint64_t incarnation = 0;
     std::string instance;
     int64_t config_version = 0;
+    //! Position and digest of the sender's set of evacuated data centres.
+    TopicPosition evacuations_as_of;
+    uint64_t evacuations_digest = 0;
     //! Time since the sender's endpoint directory was last known to be
     //! complete.
     int64_t directory_age_ms = 0;
@@ -56,11 +60,13 @@
     std::vector<ReportedSpeed> speeds;
     std::vector<ReportedServiceSpeed> service_speeds;
 
-    //! Whether the reports agree in configuration version, instances, loads,
-    //! crashes, limits but for their age, leaving endpoints and diversion of
-    //! callers; the other fields are not compared.
+    //! Whether the reports agree in configuration version, evacuations,
+    //! instances, loads, crashes, limits but for their age, leaving endpoints
+    //! and diversion of callers; the other fields are not compared.
     bool HasSameContent(const Report& other) const {
       return config_version == other.config_version &&
+             evacuations_as_of == other.evacuations_as_of &&
+             evacuations_digest == other.evacuations_digest &&
              link.diverts() == other.link.diverts() &&
              instances == other.instances && loads == other.loads &&
              crashes == other.crashes && leaving == other.leaving &&
@@ -76,9 +82,10 @@
 
     template <class Archive>
     void serialize(Archive& archive) {
-      archive(incarnation, instance, config_version, directory_age_ms,
-              instances, instances_age_ms, address, loads, crashes, limits,
-              leaving, lendable, link, speeds, service_speeds);
+      archive(incarnation, instance, config_version, evacuations_as_of,
+              evacuations_digest, directory_age_ms, instances, instances_age_ms,
+              address, loads, crashes, limits, leaving, lendable, link, speeds,
+              service_speeds);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
