Bound the requests of a simulated instance without a limit

Cause: with a change that leaves cold endpoints without a limit, the simulated instances of cold_endpoints_test sent for ever, until the process had no memory, and a test of leaving endpoints read from an empty report.

Change: at most 100 requests of an instance at one time; the report's size is asserted.

--- a/tests/coordination/cold_endpoints_test.cpp
+++ b/tests/coordination/cold_endpoints_test.cpp
@@ -17,6 +17,10 @@
 constexpr Millis kSecondSpan{1000};
 constexpr Millis kCold{20000};
 
+//! Requests of an instance at one time. A bucket never holds as many, so this
+//! only ends a run without a limit.
+constexpr int kMaxAtOnce = 100;
+
 std::vector<uint64_t> Hashes(int n) {
   std::vector<uint64_t> hashes;
   for (int i = 0; i < n; ++i) {
@@ -53,7 +57,7 @@
         if (now_.count() % 500 == 0) {
           it.OnTick(now_);
         }
-        while (it.MaySend(now_, kEndpoint)) {
+        for (int i = 0; i < kMaxAtOnce && it.MaySend(now_, kEndpoint); ++i) {
           it.OnSent(now_, kEndpoint);
           sent_at_.push_back(now_);
         }
@@ -111,7 +115,7 @@
   const Millis later = fleet.now() + Millis(14000);
   int at_once = 0;
   for (ColdEndpoints& it : fleet.instances()) {
-    while (it.MaySend(later, kEndpoint)) {
+    for (int i = 0; i < kMaxAtOnce && it.MaySend(later, kEndpoint); ++i) {
       it.OnSent(later, kEndpoint);
       ++at_once;
     }
--- a/tests/coordination/leaving_endpoints_test.cpp
+++ b/tests/coordination/leaving_endpoints_test.cpp
@@ -38,7 +38,7 @@
   EXPECT_EQ(leaving.size(), LeavingEndpoints::kMaxKept);
   const auto report =
       leaving.MakeReport(kNow + Millis(static_cast<int64_t>(kMany)));
-  EXPECT_EQ(report.size(), LeavingEndpoints::kMaxReported);
+  ASSERT_EQ(report.size(), LeavingEndpoints::kMaxReported);
   EXPECT_EQ(*std::min_element(report.begin(), report.end()),
             kMany - LeavingEndpoints::kMaxReported + 1);
   EXPECT_TRUE(leaving.Contains(kMany));
