Keep sessions at engines that are fast enough

Cause: with measured speeds all instances moved the sessions of slower engines to the engine that appeared to be the fastest, within the delay of the reports, and a prediction ignored that all slots may be taken.

Change: a first event predicted within 0.4 of its target costs the same at all engines; the random cost of engines is 30 ms, about the error of the speeds; the prediction includes the wait for a slot.

--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -305,6 +305,12 @@
   if (state == nullptr) {
     return;
   }
+  const auto service = services_.find(state->entry.service);
+  if (ticket->work && outcome == EndpointOutcome::kAnswered &&
+      service != services_.end()) {
+    service->second.speed.OnAnswered(
+        static_cast<double>((now - ticket->sent_at).count()));
+  }
   const bool lost = outcome == EndpointOutcome::kLost ||
                     outcome == EndpointOutcome::kUnreachable ||
                     outcome == EndpointOutcome::kMisdirected;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -64,6 +64,15 @@
 //! Random cost that keeps instances with the same view from all choosing the
 //! same endpoint, ms.
 constexpr double kMaxJitterMs = 6;
+//! The same for engines: about the error of the measured speeds, as otherwise
+//! all instances choose the one that appears to be the fastest.
+constexpr double kMaxEngineJitterMs = 30;
+
+//! A first event within this fraction of its target is good enough: faster
+//! engines don't cost less, and a session's engine is kept. Without this, all
+//! sessions move from the slower engines to the fastest, which get more
+//! requests within the delay of the reports than they have slots.
+constexpr double kCertainFraction = 0.4;
 
 //! A prefix that was last used longer ago may have been evicted from the
 //! engine's cache.
@@ -92,6 +101,7 @@
   double predicted_ms = 0;      //!< To the first event.
   int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
   PrefillWork work;             //!< Of an engine.
+  bool waits_for_slot = false;  //!< All slots of the engine are taken.
   //! Engine to fetch the shared prefix from; nullptr for none.
   const EndpointState* fetch_from = nullptr;
 };
@@ -176,13 +186,19 @@
       std::max<int64_t>(0, state.uncached_tokens()) + estimate.uncached_tokens;
   estimate.work.slowdown = 1 + kStepSlowdownPerRequest * state.open();
   estimate.work.attention_ms = AttentionMs(estimate.uncached_tokens);
+  const double slots = std::max(1, state.entry.slots);
+  const double wait_ms = std::max(0.0, state.open() + 1 - slots) / slots *
+                         speed.answer_ms() * state.speed_factor;
+  estimate.waits_for_slot = wait_ms > 0;
   estimate.predicted_ms =
       (speed.TimeToFirstEvent(static_cast<double>(estimate.work.tokens)) +
        estimate.work.attention_ms) *
           estimate.work.slowdown * state.speed_factor +
-      fetch_ms;
+      wait_ms + fetch_ms;
   estimate.cost_ms =
-      estimate.predicted_ms +
+      std::max(estimate.predicted_ms,
+               kCertainFraction *
+                   static_cast<double>(request.first_event_target.count())) +
       (fetches ? kFetchCostMsPerKTokens : kPrefillAgainCostMsPerKTokens) *
           static_cast<double>(missing_tokens) / 1000;
   if (estimate.uncached_tokens > kLongPrefillTokens) {
@@ -254,6 +270,8 @@
   const EndpointState* preferred =
       request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
   const ServiceSpeed& speed = registry_->SpeedOf(request.service->name);
+  const double max_jitter =
+      request.prompt != nullptr ? kMaxEngineJitterMs : kMaxJitterMs;
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double min_cost = std::numeric_limits<double>::infinity();
@@ -270,7 +288,7 @@
     const double scaled_jitter = jitter * static_cast<double>(i + 1);
     const double cost =
         estimate.cost_ms +
-        kMaxJitterMs * (scaled_jitter - std::floor(scaled_jitter));
+        max_jitter * (scaled_jitter - std::floor(scaled_jitter));
     if (cost < min_cost) {
       min_cost = cost;
       chosen = &state;
@@ -289,7 +307,8 @@
   choice.uncached_tokens = chosen_estimate.uncached_tokens;
   if (chosen_estimate.fetch_from != nullptr) {
     choice.fetch_from = chosen_estimate.fetch_from->entry.address;
-  } else if (request.prompt != nullptr && request.service->has_engines) {
+  } else if (request.prompt != nullptr && request.service->has_engines &&
+             !chosen_estimate.waits_for_slot) {
     choice.work = chosen_estimate.work;
   }
   return choice;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -35,6 +35,9 @@
     const std::vector<uint64_t>* prefix_hashes = nullptr;
     //! Hashes of the incarnations that this request was already sent to.
     const std::set<uint64_t>* tried = nullptr;
+    //! Targets of the route; 0 for none.
+    Millis first_event_target;
+    Millis gap_target;
   };
 
   struct Choice {
--- a/src/coordination/service_speed.cpp
+++ b/src/coordination/service_speed.cpp
@@ -32,6 +32,9 @@
 constexpr double kPriorBaseMs = 45;
 constexpr double kPriorMsPerKTokens = 1000.0 / 60;
 
+//! Weight of one sample in the smoothed time of answers.
+constexpr double kAnswerWeight = 0.05;
+
 //! Sums of a peer below this weight are dropped.
 constexpr float kMinWeight = 0.01F;
 
@@ -87,6 +90,10 @@
   }
 }
 
+void ServiceSpeed::OnAnswered(double ms) {
+  answer_ms_ += kAnswerWeight * (ms - answer_ms_);
+}
+
 void ServiceSpeed::OnTick(Millis now) {
   const Millis age = decayed_at_ == Millis(0) ? Millis(0) : now - decayed_at_;
   const auto kept = static_cast<float>(
--- a/src/coordination/service_speed.h
+++ b/src/coordination/service_speed.h
@@ -31,6 +31,11 @@
   //! not before that of an earlier call.
   void OnTick(Millis now);
 
+  //! An own request was answered completely after `ms`.
+  void OnAnswered(double ms);
+
+  //! Returns the usual time from the send to the end of an answer, ms.
+  double answer_ms() const { return answer_ms_; }
   double base_ms() const { return base_ms_; }
   double tokens_per_ms() const { return 1000 / ms_per_k_tokens_; }
 
@@ -49,6 +54,7 @@
   // ms, and their first event takes 13 to 62 ms.
   double base_ms_ = 45;
   double ms_per_k_tokens_ = 1000.0 / 60;
+  double answer_ms_ = 1000;
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -228,6 +228,8 @@
   placement_request.prompt = prompt_ ? &*prompt_ : nullptr;
   placement_request.prefix_hashes = &prefix_hashes_;
   placement_request.tried = &tried_endpoints_;
+  placement_request.first_event_target = route_->latency_objective;
+  placement_request.gap_target = route_->gap_objective;
   const auto choice = context_->placement.Choose(now, placement_request,
                                                  context_->RandomFraction());
   if (!choice) {
