--- a/tests/soak/instance_process.cpp
+++ b/tests/soak/instance_process.cpp
@@ -26,14 +26,16 @@
       name_(std::move(name)),
       callers_address_(FreeAddress()),
       health_address_(FreeAddress()),
+      peers_address_(FreeAddress()),
+      metrics_address_(FreeAddress()),
       settings_path_(absl::StrCat(folder, "/", name_, ".ini")),
       log_path_(absl::StrCat(folder, "/", name_, ".log")),
       store_link_(loop, store_address) {
   std::ofstream out(settings_path_);
   out << "[instance]\nname = " << name_ << "\ndata_centre = " << data_centre
       << "\n[listen]\ncallers = " << callers_address_
-      << "\nhealth = " << health_address_ << "\npeers = " << FreeAddress()
-      << "\nmetrics = " << FreeAddress()
+      << "\nhealth = " << health_address_ << "\npeers = " << peers_address_
+      << "\nmetrics = " << metrics_address_
       << "\n[store]\naddress = " << store_link_.address()
       << "\nreads_per_s = 2000\nwrites_per_s = 800\n"
       << "[limits]\nfile_descriptors = 1024\ngrace_ms = 5000\n"
@@ -47,6 +49,11 @@
   }
 }
 
+void InstanceProcess::AddSettings(const std::string& lines) {
+  CHECK(!running());
+  std::ofstream(settings_path_, std::ios::app) << lines;
+}
+
 void InstanceProcess::Start() {
   CHECK(!running());
   const int log =
--- a/tests/soak/instance_process.h
+++ b/tests/soak/instance_process.h
@@ -30,6 +30,8 @@
   const std::string& name() const { return name_; }
   const std::string& callers_address() const { return callers_address_; }
   const std::string& health_address() const { return health_address_; }
+  const std::string& peers_address() const { return peers_address_; }
+  const std::string& metrics_address() const { return metrics_address_; }
   const std::string& log_path() const { return log_path_; }
   FaultProxy& store_link() { return store_link_; }
 
@@ -39,6 +41,10 @@
     child_setup_ = std::move(setup);
   }
 
+  //! Appends lines to the settings file. A key that is set again replaces the
+  //! earlier value. Precondition: not running.
+  void AddSettings(const std::string& lines);
+
   //! Precondition: not running.
   void Start();
   //! Precondition: running.
@@ -57,6 +63,8 @@
   std::string name_;
   std::string callers_address_;
   std::string health_address_;
+  std::string peers_address_;
+  std::string metrics_address_;
   std::string settings_path_;
   std::string log_path_;
   FaultProxy store_link_;
--- a/tests/support/stand_in_endpoint.cpp
+++ b/tests/support/stand_in_endpoint.cpp
@@ -133,7 +133,9 @@
         head.fields.Add("Retry-After", it);
       }
     }
-    connection_->Answer(head, "body");
+    std::string body = "body";
+    body.resize(endpoint_->behaviour_.answer_bytes, 'x');
+    connection_->Answer(head, body);
   }
 
   void SendNextEvent() {
--- a/tests/support/stand_in_endpoint.h
+++ b/tests/support/stand_in_endpoint.h
@@ -27,6 +27,7 @@
     int events = 5;            //!< Number of events in a stream.
     Millis event_interval{2};  //!< Between two events.
     Millis answer_delay;       //!< Before a plain answer.
+    size_t answer_bytes = 4;   //!< Size of the body of a plain answer.
     bool refuse = false;       //!< Answers 503, marked as not run.
     //! Values of the fields of refusals that name a time to wait.
     std::vector<std::string> retry_after;
