Close idle connections in favour of new ones

Cause: a listener at its limit of connections closed every new one until idle connections reached their timeout (15 s), while the instance reported that it is ready.

--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -32,9 +32,13 @@
 
 }  // namespace
 
-CallerConnection::CallerConnection(EventLoop* loop, RelayServer* server, int fd)
+CallerConnection::CallerConnection(EventLoop* loop,
+                                   RelayServer* server,
+                                   uint64_t id,
+                                   int fd)
     : loop_(loop),
       server_(server),
+      id_(id),
       stream_(TcpStream::Adopt(loop, fd, this)),
       waiting_since_(loop->Now()) {}
 
@@ -45,6 +49,9 @@
 }
 
 void CallerConnection::OnReadable() {
+  if (closed_) {
+    return;  // It gave way to a new connection in this wake-up.
+  }
   const size_t before = input_.size();
   const TcpStream::ReadResult result = stream_->Read(&input_, kReadBytes);
   if (result == TcpStream::ReadResult::kEndOfStream ||
@@ -81,6 +88,7 @@
     request_begun_ = true;
     waiting_since_ = loop_->Now();
   }
+  server_->OnPhase(id_, ConnectionSlots::Phase::kReceiving);
   const absl::Status fed = reader_->Feed(&input_);
   if (absl::IsResourceExhausted(fed)) {
     RejectRequest(431, "Request Header Fields Too Large");
@@ -112,6 +120,7 @@
   is_head_request_ = request.method == "HEAD";
   reader_.reset();
   phase_ = Phase::kServing;
+  server_->OnPhase(id_, ConnectionSlots::Phase::kServing);
   answer_begun_ = false;
   close_after_ = false;
   task_ = server_->MakeTask(this, std::move(request));
@@ -125,7 +134,9 @@
   AnswerHead head;
   head.status = status;
   head.reason = reason;
+  reader_.reset();
   phase_ = Phase::kServing;
+  server_->OnPhase(id_, ConnectionSlots::Phase::kServing);
   Answer(std::move(head), "");
 }
 
@@ -201,6 +212,9 @@
     return;
   }
   phase_ = Phase::kReading;
+  if (!has_unsent_bytes()) {
+    server_->OnPhase(id_, ConnectionSlots::Phase::kIdle);
+  }
   request_begun_ = false;
   waiting_since_ = loop_->Now();
   stream_->PauseReading(false);
@@ -234,6 +248,8 @@
 void CallerConnection::OnDrained() {
   if (phase_ == Phase::kLingering) {
     CloseInOrder();
+  } else if (phase_ == Phase::kReading && !request_begun_) {
+    server_->OnPhase(id_, ConnectionSlots::Phase::kIdle);
   } else if (task_ != nullptr) {
     task_->OnCallerDrained();
   }
@@ -251,6 +267,14 @@
   }
 }
 
+bool CallerConnection::GiveWay() {
+  if (stream_->has_unread_bytes()) {
+    return false;
+  }
+  Close();
+  return true;
+}
+
 void CallerConnection::OnTick(Millis now) {
   const Millis waited = now - waiting_since_;
   if (phase_ == Phase::kLingering) {
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -27,7 +27,8 @@
 //! is detected at once. Not thread-safe.
 class CallerConnection : private TcpStream::Observer {
  public:
-  CallerConnection(EventLoop* loop, RelayServer* server, int fd);
+  //! `id` is unique among the connections of the server.
+  CallerConnection(EventLoop* loop, RelayServer* server, uint64_t id, int fd);
   ~CallerConnection() override;
 
   CallerConnection(const CallerConnection&) = delete;
@@ -57,10 +58,15 @@
   bool answer_begun() const { return answer_begun_; }
   //! How the answer's end is recognised. Precondition: the answer has begun.
   BodyFraming answer_framing() const { return answer_framing_; }
+  uint64_t id() const { return id_; }
   bool has_open_request() const { return task_ != nullptr; }
   //! Whether bytes of an answer wait for the caller to read.
   bool has_unsent_bytes() const { return stream_->pending_bytes() > 0; }
 
+  //! Closes the connection in favour of a new one, unless bytes of a request
+  //! wait to be read. Returns whether it did.
+  bool GiveWay();
+
   //! Refuses a request whose head is late, and closes a connection that
   //! exceeded its timeout.
   void OnTick(Millis now);
@@ -84,6 +90,7 @@
 
   EventLoop* loop_;
   RelayServer* server_;
+  uint64_t id_;
   std::unique_ptr<TcpStream> stream_;
   std::unique_ptr<HttpReader> reader_;
   std::unique_ptr<RequestTask> task_;
--- a/src/transport/relay/relay_server.cpp
+++ b/src/transport/relay/relay_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/relay/relay_server.h"
 
+#include <netinet/in.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -28,6 +29,13 @@
 //! Connections accepted per wake-up; the rest wait for the next one.
 constexpr int kAcceptsPerWakeUp = 64;
 
+//! Connections that are tried for one new connection: some may turn out to have
+//! received a request that has not been read.
+constexpr int kMaxTriesToMakeRoom = 8;
+
+//! Time for which the server counts as full after a refusal.
+constexpr Millis kFullTime{1000};
+
 }  // namespace
 
 RelayServer::RelayServer(EventLoop* loop,
@@ -37,7 +45,7 @@
                          Metrics* metrics)
     : loop_(loop),
       fd_(fd),
-      max_connections_(static_cast<size_t>(max_connections)),
+      slots_(static_cast<size_t>(max_connections)),
       handler_(std::move(handler)),
       metrics_(metrics) {
   loop_->Watch(fd_, EPOLLIN, this);
@@ -60,7 +68,10 @@
 
 void RelayServer::OnReady(uint32_t) {
   for (int i = 0; i < kAcceptsPerWakeUp; ++i) {
-    const int fd = accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    sockaddr_in from{};
+    socklen_t n = sizeof(from);
+    const int fd = accept4(fd_, reinterpret_cast<sockaddr*>(&from), &n,
+                           SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) {
       if (errno != EAGAIN && errno != EINTR) {
         metrics_->Count("accept_errors_total");
@@ -68,17 +79,47 @@
       }
       return;
     }
-    if (connections_.size() >= max_connections_) {
+    if (!MakeRoom(from.sin_addr.s_addr)) {
       metrics_->Count("connections_refused_total");
+      ++refused_;
       close(fd);
       continue;
     }
-    auto connection = std::make_unique<CallerConnection>(loop_, this, fd);
-    CallerConnection* key = connection.get();
-    connections_.emplace(key, std::move(connection));
+    const uint64_t id = ++last_id_;
+    slots_.Add(loop_->Now(), id, from.sin_addr.s_addr);
+    connections_.emplace(
+        id, std::make_unique<CallerConnection>(loop_, this, id, fd));
   }
 }
 
+bool RelayServer::MakeRoom(uint32_t address) {
+  const Millis now = loop_->Now();
+  for (int i = 0; i < kMaxTriesToMakeRoom; ++i) {
+    const ConnectionSlots::Admission admission = slots_.Admit(now, address);
+    if (!admission.accepts) {
+      break;
+    }
+    if (!admission.closes) {
+      return true;
+    }
+    if (connections_.at(*admission.closes)->GiveWay()) {
+      metrics_->Count("connections_gave_way_total");
+      ++gave_way_;
+      return true;
+    }
+    // Its request is about to be read.
+    slots_.Update(now, *admission.closes, ConnectionSlots::Phase::kReceiving);
+  }
+  if (slots_.size() >= slots_.capacity()) {
+    full_at_ = now;
+  }
+  return false;
+}
+
+bool RelayServer::full() const {
+  return full_at_ > Millis(0) && loop_->Now() - full_at_ < kFullTime;
+}
+
 void RelayServer::PauseAccepting() {
   // The connection stays in the queue, so the descriptor stays readable.
   loop_->UpdateWatch(fd_, 0);
@@ -92,7 +133,7 @@
   std::vector<CallerConnection*> all;
   all.reserve(connections_.size());
   for (const auto& [key, connection] : connections_) {
-    all.push_back(key);
+    all.push_back(connection.get());
   }
   for (CallerConnection* it : all) {
     it->OnTick(loop_->Now());
@@ -122,17 +163,22 @@
   metrics_->Count(absl::StrCat("bad_requests_total{status=\"", status, "\"}"));
 }
 
+void RelayServer::OnPhase(uint64_t connection, ConnectionSlots::Phase phase) {
+  slots_.Update(loop_->Now(), connection, phase);
+}
+
 void RelayServer::Defer(CallerConnection* connection,
                         std::function<void()> callback) {
-  loop_->Defer([this, connection, callback = std::move(callback)] {
-    if (connections_.contains(connection)) {
+  loop_->Defer([this, id = connection->id(), callback = std::move(callback)] {
+    if (connections_.contains(id)) {
       callback();
     }
   });
 }
 
 void RelayServer::Remove(CallerConnection* connection) {
-  loop_->Defer([this, connection] { connections_.erase(connection); });
+  slots_.Remove(connection->id());
+  loop_->Defer([this, id = connection->id()] { connections_.erase(id); });
 }
 
 }  // namespace tamaracktrail
--- a/src/transport/relay/relay_server.h
+++ b/src/transport/relay/relay_server.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "coordination/connection_slots.h"
 #include "state/caller_limits.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
@@ -49,11 +50,21 @@
   bool busy() const;
   size_t connections() const { return connections_.size(); }
 
+  //! Whether a connection was refused within the last second, since all slots
+  //! have a request in progress: callers had better be sent elsewhere.
+  bool full() const;
+  //! Idle connections that were closed in favour of new ones so far, and
+  //! connections that found no slot.
+  int64_t gave_way() const { return gave_way_; }
+  int64_t refused() const { return refused_; }
+
   // Called by the connections:
 
   std::unique_ptr<RequestTask> MakeTask(CallerConnection* connection,
                                         CallerRequest request);
   void OnBadRequest(int status);
+  //! The connection entered `phase`, or received bytes in it.
+  void OnPhase(uint64_t connection, ConnectionSlots::Phase phase);
   //! Calls `callback` after the handlers of this wake-up, unless the connection
   //! has been removed by then.
   void Defer(CallerConnection* connection, std::function<void()> callback);
@@ -62,20 +73,27 @@
 
  private:
   void OnReady(uint32_t events) override;
+  //! Whether there is a slot for a connection from `address` now; closes
+  //! another connection for it if necessary.
+  bool MakeRoom(uint32_t address);
   void PauseAccepting();
   void Tick();
 
   EventLoop* loop_;
   int fd_;
-  size_t max_connections_;
+  ConnectionSlots slots_;
   RequestHandler handler_;
   Metrics* metrics_;
   CallerLimits limits_;
   bool draining_ = false;
   EventLoop::TimerId tick_{};
   EventLoop::TimerId resume_accepting_{};
-  std::unordered_map<CallerConnection*, std::unique_ptr<CallerConnection>>
-      connections_;
+  uint64_t last_id_ = 0;
+  int64_t gave_way_ = 0;
+  int64_t refused_ = 0;
+  Millis full_at_;  //!< Last refusal for want of a slot; 0 for never.
+  //! By `CallerConnection::id`.
+  std::unordered_map<uint64_t, std::unique_ptr<CallerConnection>> connections_;
 };
 
 }  // namespace tamaracktrail
--- a/src/transport/tcp_stream.cpp
+++ b/src/transport/tcp_stream.cpp
@@ -96,6 +96,11 @@
                                            : ReadResult::kFailed;
 }
 
+bool TcpStream::has_unread_bytes() const {
+  char byte = 0;
+  return fd_ >= 0 && recv(fd_, &byte, 1, MSG_PEEK) > 0;
+}
+
 void TcpStream::Write(std::string_view bytes) {
   output_.append(bytes);
 }
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -74,6 +74,9 @@
   //! Hands buffered bytes to the kernel until its send buffer is full.
   void Flush();
 
+  //! Whether received bytes wait to be read.
+  bool has_unread_bytes() const;
+
   //! Pauses or resumes reading, for back-pressure.
   void PauseReading(bool pause);
 
