Keep requests in the allowed regions of route and organisation

Cause: allowed_regions of routes and organisations were ignored. Change: the settings name the region of each data centre in [data_centres], and EndpointRegistry leaves out endpoints outside the regions that route and organisation both allow; placement, retries, resumed streams, limits and fetched prefixes follow it. A request that no endpoint may receive is refused before it reserves tokens, with the reason no_endpoint_in_allowed_regions if only the regions are in the way. Without the lists nothing changes.

--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -77,6 +77,13 @@
   settings.retries.window =
       kSecond.Scaled(ini.Number("retries", "window_s", kDefaultRetryWindow,
                                 kMinRetryWindow, kMaxRetryWindow));
+  for (const std::string& it : ini.Keys("data_centres")) {
+    const std::string region = ini.String("data_centres", it).value_or("");
+    if (region.empty()) {
+      ini.AddFault("data_centres", it, region, "the name of a region");
+    }
+    settings.regions[it] = region;
+  }
   ini.RejectUnknownKeys();
   return settings;
 }
--- a/src/cli/relay_settings.h
+++ b/src/cli/relay_settings.h
@@ -1,6 +1,7 @@
 #ifndef CLI_RELAY_SETTINGS_H_
 #define CLI_RELAY_SETTINGS_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 struct RelaySettings {
   std::string instance;
   std::string data_centre;
+  std::map<std::string, std::string> regions;  //!< By data centre.
   std::string callers_address;  //!< "ip:port", like all addresses below.
   std::string health_address;
   std::string peers_address;
--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -153,12 +153,14 @@
 
 std::vector<const EndpointState*> EndpointRegistry::Usable(
     Millis now,
-    const std::string& service) const {
+    const std::string& service,
+    const AllowedRegions& allowed) const {
   std::vector<const EndpointState*> usable;
   std::vector<const EndpointState*> suspended;
   for (const auto& [id, state] : endpoints_) {
     if (state.entry.service != service ||
         !MayReceive(now, id, state.entry.start_unix_ms) ||
+        !IsAllowed(allowed, state) ||
         !notices_.MaySend(now, state.incarnation_hash)) {
       continue;
     }
@@ -167,6 +169,26 @@
   return usable.empty() ? suspended : usable;
 }
 
+bool EndpointRegistry::HasAny(Millis now,
+                              const std::string& service,
+                              const AllowedRegions& allowed) const {
+  return std::any_of(endpoints_.begin(), endpoints_.end(), [&](const auto& it) {
+    const EndpointState& state = it.second;
+    return state.entry.service == service &&
+           MayReceive(now, it.first, state.entry.start_unix_ms) &&
+           IsAllowed(allowed, state);
+  });
+}
+
+bool EndpointRegistry::IsAllowed(const AllowedRegions& allowed,
+                                 const EndpointState& state) const {
+  if (allowed.allows_all()) {
+    return true;
+  }
+  const auto region = regions_.find(state.entry.data_centre);
+  return allowed.Allows(region == regions_.end() ? "" : region->second);
+}
+
 EndpointLimits::Change EndpointRegistry::OnReportedLimit(
     Millis now,
     const ReportedLimit& reported) {
@@ -177,12 +199,14 @@
 
 EndpointRegistry::Room EndpointRegistry::RoomOf(
     Millis now,
-    const std::string& service) const {
+    const std::string& service,
+    const AllowedRegions& allowed) const {
   Room room;
   std::optional<Millis> next;
   for (const auto& [id, state] : endpoints_) {
     if (state.entry.service != service ||
-        !MayReceive(now, id, state.entry.start_unix_ms)) {
+        !MayReceive(now, id, state.entry.start_unix_ms) ||
+        !IsAllowed(allowed, state)) {
       continue;
     }
     if (!notices_.IsRestricted(now, state.incarnation_hash)) {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -5,8 +5,10 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
+#include "coordination/allowed_regions.h"
 #include "coordination/endpoint_load.h"
 #include "coordination/endpoint_notices.h"
 #include "coordination/endpoint_state.h"
@@ -56,11 +58,29 @@
                 const std::vector<std::string>& ids,
                 bool store_in_doubt);
 
-  //! Returns the endpoints of a service that may receive requests, ordered by
-  //! id. Suspended ones are omitted unless all are suspended, and those whose
-  //! limit is used up or that asked for nothing always.
-  std::vector<const EndpointState*> Usable(Millis now,
-                                           const std::string& service) const;
+  //! Returns the endpoints of a service that may receive requests and are in
+  //! an allowed region, ordered by id. Suspended ones are omitted unless all
+  //! are suspended, and those whose limit is used up or that asked for nothing
+  //! always.
+  std::vector<const EndpointState*> Usable(
+      Millis now,
+      const std::string& service,
+      const AllowedRegions& allowed = {}) const;
+
+  //! Whether any endpoint of a service in an allowed region may receive
+  //! requests, be it suspended or restricted.
+  bool HasAny(Millis now,
+              const std::string& service,
+              const AllowedRegions& allowed = {}) const;
+
+  //! Sets the region of each data centre; data centres without one are in no
+  //! region.
+  void SetRegions(std::map<std::string, std::string> regions) {
+    regions_ = std::move(regions);
+  }
+  //! Whether the endpoint is in an allowed region.
+  bool IsAllowed(const AllowedRegions& allowed,
+                 const EndpointState& state) const;
 
   //! Returns nullptr if the incarnation is not or no longer known.
   const EndpointState* Find(const std::string& id, int64_t start_unix_ms) const;
@@ -115,7 +135,9 @@
     double per_second = 0;        //!< Requests that this instance may send.
     Millis next;                  //!< Time until it may send one.
   };
-  Room RoomOf(Millis now, const std::string& service) const;
+  Room RoomOf(Millis now,
+              const std::string& service,
+              const AllowedRegions& allowed = {}) const;
 
   size_t size() const { return endpoints_.size(); }
   //! Open requests of this instance at all endpoints.
@@ -143,6 +165,7 @@
   std::map<uint64_t, PeerLoad> peers_;
   EndpointNotices notices_;
   EvacuatedDataCentres evacuated_;
+  std::map<std::string, std::string> regions_;  //!< By data centre.
 };
 
 //! Returns the smoothed failure rate of an endpoint at `now`. It decays while
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -124,6 +124,7 @@
 
 const EndpointState* Placement::FindPrefixSource(
     Millis now,
+    const Request& request,
     uint64_t prefix,
     const EndpointState* preferred) const {
   const auto* locations = prefix_index_->Find(prefix);
@@ -135,6 +136,7 @@
       if (state != nullptr && now - it.last_used < kPrefixCacheLifetime &&
           it.last_used > latest_use && now >= state->suspended_until &&
           !registry_->evacuated().Contains(state->entry.data_centre) &&
+          registry_->IsAllowed(request.allowed_regions, *state) &&
           !registry_->notices().IsRestricted(now, it.endpoint)) {
         found = state;
         latest_use = it.last_used;
@@ -167,7 +169,8 @@
   const int64_t missing_tokens = shared_tokens - cached_tokens;
   if (missing_tokens >= kMinFetchTokens && request.service->link_mbps > 0) {
     const uint64_t prefix = (*request.prefix_hashes)[prompt.parts.size() - 2];
-    const EndpointState* source = FindPrefixSource(now, prefix, preferred);
+    const EndpointState* source =
+        FindPrefixSource(now, request, prefix, preferred);
     if (source != nullptr && source != &state) {
       estimate.fetch_from = source;
       const double bits = static_cast<double>(missing_tokens) * 8 *
@@ -256,7 +259,8 @@
 std::optional<Placement::Choice> Placement::Choose(Millis now,
                                                    const Request& request,
                                                    double jitter) const {
-  const auto usable = registry_->Usable(now, request.service->name);
+  const auto usable =
+      registry_->Usable(now, request.service->name, request.allowed_regions);
   const EndpointState* preferred =
       request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
   const EndpointState* chosen = nullptr;
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/allowed_regions.h"
 #include "coordination/prompt_shape.h"
 #include "state/millis.h"
 
@@ -33,6 +34,7 @@
     const std::vector<uint64_t>* prefix_hashes = nullptr;
     //! Hashes of the incarnations that this request was already sent to.
     const std::set<uint64_t>* tried = nullptr;
+    AllowedRegions allowed_regions;
   };
 
   struct Choice {
@@ -68,9 +70,10 @@
                        uint64_t prefix,
                        const EndpointState& state) const;
   //! Returns the engine that used the prefix last, if that was within the cache
-  //! lifetime and the engine is neither suspended nor evacuated; else
-  //! `preferred`.
+  //! lifetime and the engine is neither suspended nor evacuated and is
+  //! in an allowed region; else `preferred`.
   const EndpointState* FindPrefixSource(Millis now,
+                                        const Request& request,
                                         uint64_t prefix,
                                         const EndpointState* preferred) const;
   Estimate EstimateEngine(Millis now,
--- a/src/protocol/ini_reader.cpp
+++ b/src/protocol/ini_reader.cpp
@@ -36,6 +36,16 @@
   return sections;
 }
 
+std::vector<std::string> IniReader::Keys(const std::string& section) const {
+  std::vector<std::string> keys;
+  gchar** names = g_key_file_get_keys(keys_, section.c_str(), nullptr, nullptr);
+  for (gchar** it = names; it != nullptr && *it != nullptr; ++it) {
+    keys.emplace_back(*it);
+  }
+  g_strfreev(names);
+  return keys;
+}
+
 std::optional<std::string> IniReader::String(const std::string& section,
                                              const std::string& key,
                                              bool required) {
--- a/src/protocol/ini_reader.h
+++ b/src/protocol/ini_reader.h
@@ -30,6 +30,9 @@
 
   std::vector<std::string> Sections() const;
 
+  //! Keys of a section; none if it is absent.
+  std::vector<std::string> Keys(const std::string& section) const;
+
   //! Value of a key; nullopt if it is absent, which adds a fault if `required`.
   std::optional<std::string> String(const std::string& section,
                                     const std::string& key,
--- a/src/state/organisation.h
+++ b/src/state/organisation.h
@@ -15,6 +15,8 @@
   std::vector<std::string> keys;
   int priority = 0;                //!< 0 is the highest.
   std::optional<int64_t> prepaid;  //!< Tokens; nullopt if not limited.
+  //! Regions whose endpoints may get its requests; empty: all.
+  std::vector<std::string> allowed_regions;
 
   friend bool operator==(const Organisation&, const Organisation&) = default;
 };
--- a/src/state/route.h
+++ b/src/state/route.h
@@ -35,6 +35,8 @@
   Millis gap_objective;
   Millis event_timeout;  //!< Gap between events after which callers disconnect.
   std::vector<WeightedService> weighted_services;
+  //! Regions whose endpoints may get its requests; empty: all.
+  std::vector<std::string> allowed_regions;
 
   //! Whether a request may safely run more than once.
   bool repeatable() const {
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -99,7 +99,7 @@
 // --- Admission -------------------------------------------------------------
 
 void RelayTask::Start() {
-  if (!Admit()) {
+  if (!Admit() || RefuseWithoutEndpoint()) {
     return;
   }
   deadline_timer_ = context_->loop->After(deadline_ - context_->loop->Now(),
@@ -107,6 +107,20 @@
   ReserveOrWait();
 }
 
+bool RelayTask::RefuseWithoutEndpoint() {
+  const Millis now = context_->loop->Now();
+  const EndpointRegistry& registry = context_->registry;
+  if (registry.HasAny(now, service_->name, allowed_regions_)) {
+    return false;
+  }
+  // Endpoints elsewhere show that only the allowed regions are in the way.
+  RefuseWithRetryAfter(registry.HasAny(now, service_->name)
+                           ? "no_endpoint_in_allowed_regions"
+                           : "no_endpoint",
+                       kNoEndpointRetryAfter);
+  return true;
+}
+
 void RelayTask::ReserveOrWait() {
   if (!prompt_ || organisation_ == nullptr) {
     Attempt();
@@ -225,12 +239,13 @@
   placement_request.prompt = prompt_ ? &*prompt_ : nullptr;
   placement_request.prefix_hashes = &prefix_hashes_;
   placement_request.tried = &tried_endpoints_;
+  placement_request.allowed_regions = allowed_regions_;
   const auto choice = context_->placement.Choose(now, placement_request,
                                                  context_->RandomFraction());
   if (!choice) {
     if (may_have_run_) {
       Fail(502, "Bad Gateway", "no_other_endpoint");
-    } else {
+    } else if (!RefuseWithoutEndpoint()) {
       RefuseWithRetryAfter("no_endpoint", kNoEndpointRetryAfter);
     }
     return;
@@ -251,7 +266,7 @@
 bool RelayTask::RefuseForLimits() {
   const Millis now = context_->loop->Now();
   const EndpointRegistry::Room room =
-      context_->registry.RoomOf(now, service_->name);
+      context_->registry.RoomOf(now, service_->name, allowed_regions_);
   if (!room.all_restricted) {
     return false;
   }
@@ -272,8 +287,8 @@
 }
 
 Millis RelayTask::DelayAfterRefusal(AttemptOutcome outcome) const {
-  const EndpointRegistry::Room room =
-      context_->registry.RoomOf(context_->loop->Now(), service_->name);
+  const EndpointRegistry::Room room = context_->registry.RoomOf(
+      context_->loop->Now(), service_->name, allowed_regions_);
   if (room.all_restricted) {
     return room.next;
   }
@@ -423,8 +438,8 @@
       (suspects.IsSuspect(content_hash_) ||
        std::any_of(shared_parts_.begin(), shared_parts_.end(),
                    [&](uint64_t part) { return suspects.IsSuspect(part); }));
-  const auto usable =
-      context_->registry.Usable(context_->loop->Now(), service_->name);
+  const auto usable = context_->registry.Usable(
+      context_->loop->Now(), service_->name, allowed_regions_);
   progress.has_untried_endpoint =
       std::any_of(usable.begin(), usable.end(), [&](const EndpointState* it) {
         return !tried_endpoints_.contains(it->incarnation_hash);
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "coordination/allowed_regions.h"
 #include "coordination/attempt_outcome.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_ticket.h"
@@ -72,6 +73,8 @@
   //! Whether an endpoint that runs the request is expected to crash. Logs the
   //! evidence.
   bool CrashesEndpoints() const;
+  //! Refuses the request if no endpoint may receive it.
+  bool RefuseWithoutEndpoint();
   void ReserveOrWait();
   //! Whether the share may grow soon enough. Asks peers for tokens if the log
   //! can't provide them.
@@ -158,6 +161,7 @@
   const Route* route_ = nullptr;
   const RoutedService* service_ = nullptr;
   const Organisation* organisation_ = nullptr;
+  AllowedRegions allowed_regions_;  //!< Of the route and the organisation.
   std::string request_id_;
   std::optional<PromptShape> prompt_;
   std::vector<uint64_t> prefix_hashes_;
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -37,6 +37,9 @@
     Fail(401, "Unauthorized", "unknown_key");
     return false;
   }
+  allowed_regions_ = AllowedRegions(
+      &route_->allowed_regions,
+      organisation_ == nullptr ? nullptr : &organisation_->allowed_regions);
   if (context_->exit_deadline > Millis(0) && !CanFinishBeforeExit()) {
     RefuseWithRetryAfter("draining", kMinRetryAfter);
     return false;
--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 
 namespace tamaracktrail {
@@ -47,6 +49,8 @@
         InvalidSettings{"first_start", "name = n-1\n",
                         "name = n-1\nfirst_start = 2\n"},
         InvalidSettings{"window", "extra = 56", "extra = 56\nwindow_s = 0"},
+        InvalidSettings{"no_region", "[retries]",
+                        "[data_centres]\na = \n[retries]"},
         InvalidSettings{"unknown_key", "extra = 56", "extra = 56\nother = 1"}),
     [](const auto& info) { return std::string(info.param.name); });
 
@@ -65,6 +69,17 @@
   EXPECT_EQ(settings.retries.window, Millis(10000));
 }
 
+TEST(RelaySettingsTest, ParsesTheRegionsOfDataCentres) {
+  std::vector<SettingFault> faults;
+  const RelaySettings settings = RelaySettings::Parse(
+      "f",
+      absl::StrCat(kValidSettings, "[data_centres]\na-1 = east\nb = west\n"),
+      &faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(settings.regions, (std::map<std::string, std::string>{
+                                  {"a-1", "east"}, {"b", "west"}}));
+}
+
 TEST(RelaySettingsTest, ParsesTheRetryWindowAndAFirstStart) {
   std::vector<SettingFault> faults;
   const RelaySettings settings = RelaySettings::Parse(
--- a/tests/coordination/endpoint_registry_test.cpp
+++ b/tests/coordination/endpoint_registry_test.cpp
@@ -3,7 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
+#include "coordination/allowed_regions.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
 #include "state/endpoint_entry.h"
@@ -84,6 +86,44 @@
   EXPECT_TRUE(registry.RoomOf(kNow, "llm").all_restricted);
 }
 
+TEST(EndpointRegistryTest, RequestsStayInTheirAllowedRegions) {
+  using Regions = std::vector<std::string>;
+  EndpointRegistry registry;
+  registry.SetRegions({{"a", "east"}, {"b", "west"}});
+  for (const char* it : {"a", "b", "unlisted"}) {
+    EndpointEntry entry = Entry(it, 1, 1);
+    entry.data_centre = it;
+    registry.Apply(kNow, entry);
+  }
+  const auto ids = [&](const Regions& route, const Regions& organisation) {
+    std::string joined;
+    for (const EndpointState* it :
+         registry.Usable(kNow, "llm", AllowedRegions(&route, &organisation))) {
+      joined += it->entry.id + " ";
+    }
+    EXPECT_EQ(
+        registry.HasAny(kNow, "llm", AllowedRegions(&route, &organisation)),
+        !joined.empty());
+    return joined;
+  };
+  EXPECT_EQ(ids({}, {}), "a b unlisted ");
+  EXPECT_EQ(ids({"east"}, {}), "a ");
+  EXPECT_EQ(ids({}, {"west"}), "b ");
+  EXPECT_EQ(ids({"east", "west"}, {"west", "south"}), "b ");
+  EXPECT_EQ(ids({"east"}, {"west"}), "");
+  // An empty name is no region, although the data centre has none.
+  EXPECT_EQ(ids({""}, {}), "");
+  EXPECT_FALSE(registry.HasAny(kNow, "other"));
+  // Guards against limits elsewhere that count for a request that may not be
+  // sent there, and against room elsewhere.
+  registry.notices().limits().OnAnswer(
+      kNow, registry.Find("a", 1)->incarnation_hash, kNow, 10.0);
+  const Regions east = {"east"};
+  EXPECT_TRUE(registry.RoomOf(kNow, "llm", AllowedRegions(&east, nullptr))
+                  .all_restricted);
+  EXPECT_FALSE(registry.RoomOf(kNow, "llm").all_restricted);
+}
+
 TEST(EndpointRegistryTest, OlderEntriesAreIgnored) {
   EndpointRegistry registry;
   EndpointEntry draining_entry = Entry("e", 2, 5);
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/strings/str_cat.h"
+#include "coordination/allowed_regions.h"
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/prefix_cache_index.h"
@@ -67,12 +68,14 @@
     request.service = &service_;
     request.prompt = &prompt;
     request.prefix_hashes = &prefix_hashes;
+    request.allowed_regions = allowed_regions_;
     return *placement_.Choose(now, request, 0);
   }
 
   EndpointRegistry registry_;
   PrefixCacheIndex prefix_index_{1000};
   RoutedService service_ = Engines();
+  AllowedRegions allowed_regions_;
   Placement placement_;
 };
 
@@ -134,6 +137,28 @@
   EXPECT_NE(other.fetch_from, first.address);
 }
 
+// Guards against a prefix that leaves the regions in which its organisation may
+// be served, and against a session's engine that the request may not use.
+TEST(PlacementTest, PrefixOutsideTheAllowedRegionsIsNotUsed) {
+  InstanceView view;
+  const PromptShape prompt = Prompt("hot", 600);
+  const Placement::Choice first = view.Choose(prompt);
+  view.prefix_index_.OnPromptSent(kNow,
+                                  PrefixCacheIndex::HashPrefixes(prompt.parts),
+                                  first.incarnation_hash);
+  EndpointEntry moved = view.registry_.Find(first.id, 1)->entry;
+  moved.data_centre = "b";
+  moved.sequence = 2;
+  view.registry_.Apply(kNow, moved);
+  view.registry_.SetRegions({{"a", "east"}, {"b", "west"}});
+  EXPECT_EQ(view.Choose(prompt).id, first.id);
+  const std::vector<std::string> east = {"east"};
+  view.allowed_regions_ = AllowedRegions(&east, nullptr);
+  const Placement::Choice other = view.Choose(prompt);
+  EXPECT_NE(other.id, first.id);
+  EXPECT_NE(other.fetch_from, first.address);
+}
+
 // Many instances choose engines between two load reports of their peers, so the
 // load of peers must have the same weight as the instance's own load.
 TEST(PlacementTest, LoadReportedByPeersCountsLikeOwnLoad) {
--- a/tests/platform/decoder_test.cpp
+++ b/tests/platform/decoder_test.cpp
@@ -72,6 +72,32 @@
   }
 }
 
+TEST(ConfigDecoderTest, ParsesAllowedRegions) {
+  json config = json::parse(kConfig);
+  const auto route_regions = [&] {
+    const auto decoded = DecodeConfig(config.dump());
+    return decoded.ok()
+               ? (*decoded)->FindRoute("h.example", "/a/x")->allowed_regions
+               : std::vector<std::string>{"refused"};
+  };
+  using Regions = std::vector<std::string>;
+  EXPECT_EQ(route_regions(), Regions());
+  config["routes"][0]["allowed_regions"] = nullptr;
+  EXPECT_EQ(route_regions(), Regions());
+  config["routes"][0]["allowed_regions"] = {"east", "west"};
+  EXPECT_EQ(route_regions(), (Regions{"east", "west"}));
+  config["tenants"][0]["allowed_regions"] = {"east"};
+  EXPECT_EQ((*DecodeConfig(config.dump()))
+                ->FindOrganisationByKey("k1")
+                ->allowed_regions,
+            Regions{"east"});
+  // Guards against a restriction that is misread as none.
+  config["routes"][0]["allowed_regions"] = "east";
+  EXPECT_FALSE(DecodeConfig(config.dump()).ok());
+  config["routes"][0]["allowed_regions"] = {5};
+  EXPECT_FALSE(DecodeConfig(config.dump()).ok());
+}
+
 struct EntryCase {
   const char* name;
   const char* text;
--- a/tests/platform/evacuation_test.cpp
+++ b/tests/platform/evacuation_test.cpp
@@ -1,10 +1,8 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
-#include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
