--- a/src/cli/relay_settings.cpp
+++ b/src/cli/relay_settings.cpp
@@ -88,6 +88,13 @@
   settings.cold_start.tolerance =
       ini.Number("cold_start", "tolerance", settings.cold_start.tolerance, 0,
                  kMaxColdTolerance);
+  for (const std::string& it : ini.Keys("data_centres")) {
+    const std::string region = ini.String("data_centres", it).value_or("");
+    if (region.empty()) {
+      ini.AddFault("data_centres", it, region, "the name of a region");
+    }
+    settings.regions[it] = region;
+  }
   ini.RejectUnknownKeys();
   return settings;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "coordination/allowed_regions.h"
 #include "coordination/prefill_work.h"
 #include "coordination/prompt_shape.h"
 #include "state/millis.h"
@@ -38,6 +39,7 @@
     //! Targets of the route; 0 for none.
     Millis first_event_target;
     Millis gap_target;
+    AllowedRegions allowed_regions;
   };
 
   struct Choice {
@@ -75,9 +77,10 @@
                        uint64_t prefix,
                        const EndpointState& state) const;
   //! Returns the engine that used the prefix last, if that was within the cache
-  //! lifetime and the engine is neither suspended nor evacuated; else
-  //! `preferred`.
+  //! lifetime and the engine is neither suspended nor evacuated and is
+  //! in an allowed region; else `preferred`.
   const EndpointState* FindPrefixSource(Millis now,
+                                        const Request& request,
                                         uint64_t prefix,
                                         const EndpointState* preferred) const;
   Estimate EstimateEngine(Millis now,
--- a/tests/cli/relay_settings_test.cpp
+++ b/tests/cli/relay_settings_test.cpp
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
 #include <string>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 
 namespace tamaracktrail {
@@ -51,6 +53,8 @@
                         "[cold_start]\noverage = 0\n[retries]"},
         InvalidSettings{"cold_tolerance", "[retries]",
                         "[cold_start]\ntolerance = -1\n[retries]"},
+        InvalidSettings{"no_region", "[retries]",
+                        "[data_centres]\na = \n[retries]"},
         InvalidSettings{"unknown_key", "extra = 56", "extra = 56\nother = 1"}),
     [](const auto& info) { return std::string(info.param.name); });
 
@@ -89,6 +93,17 @@
   EXPECT_EQ(bounds.tolerance, 0);
 }
 
+TEST(RelaySettingsTest, ParsesTheRegionsOfDataCentres) {
+  std::vector<SettingFault> faults;
+  const RelaySettings settings = RelaySettings::Parse(
+      "f",
+      absl::StrCat(kValidSettings, "[data_centres]\na-1 = east\nb = west\n"),
+      &faults);
+  EXPECT_TRUE(faults.empty());
+  EXPECT_EQ(settings.regions, (std::map<std::string, std::string>{
+                                  {"a-1", "east"}, {"b", "west"}}));
+}
+
 TEST(RelaySettingsTest, ParsesTheRetryWindowAndAFirstStart) {
   std::vector<SettingFault> faults;
   const RelaySettings settings = RelaySettings::Parse(
