Tests of the largest body alone and while memory is short

Guard against limits that refuse a permitted body although nothing else is held, and against a refusal without Retry-After or of a request that ran.

--- a/tests/platform/connection_crowd_test.cpp
+++ b/tests/platform/connection_crowd_test.cpp
@@ -190,6 +190,7 @@
     return static_cast<size_t>(done);
   }
 
+  size_t sent() const { return sent_; }
   bool over() const { return failed_ || sent_ == bytes_->size(); }
 
  private:
@@ -344,6 +345,28 @@
     loop_.After(kPumpInterval, [=, this, &shape] { Pump(shape, then); });
   }
 
+  //! Calls `then` once the caller has its answer; without one, the run ends
+  //! after kMaxTestTime.
+  void AwaitAnswer(Caller* caller, const std::function<void()>& then) {
+    constexpr int kMaxPolls = 100000;
+    Await([caller] { return caller->finished(); }, then, kMaxPolls);
+  }
+
+  //! Sends the head of each connection and the begin of its body. Calls `then`
+  //! once all heads were sent.
+  void AwaitHeads(const std::function<void()>& then) {
+    Await(
+        [this] {
+          bool all = true;
+          for (const auto& it : crowd_) {
+            it->Send(4 * kKibibyte);
+            all = all && it->sent() >= 4 * kKibibyte;
+          }
+          return all;
+        },
+        [=, this] { loop_.After(Millis(50), then); });
+  }
+
   //! Sends an ordinary request to `listener` until it is served.
   void Ask(Listener listener, int tries, const std::function<void()>& then) {
     Caller* caller =
@@ -417,6 +440,58 @@
   EXPECT_EQ(served_, std::size(kAllListeners));
 }
 
+class LargestBodyTest : public ConnectionCrowdTest {};
+
+// Guards against limits on memory that refuse requests within the configured
+// limits although nothing else is held.
+TEST_F(LargestBodyTest, IsServedWholeAndInChunks) {
+  Caller* whole = nullptr;
+  Caller* chunked = nullptr;
+  process_->Start();
+  WhenReady([&] {
+    whole = SendTo(process_->callers_address(),
+                   WithLength(kMaxBodyBytes, kMaxBodyBytes));
+    AwaitAnswer(whole, [&] {
+      chunked = SendTo(process_->callers_address(),
+                       Chunked(64, kMaxBodyBytes) + "0\r\n\r\n");
+      AwaitAnswer(chunked, [this] { loop_.Quit(); });
+    });
+  });
+  loop_.After(kMaxTestTime, [this] { loop_.Quit(); });
+  loop_.Run();
+  ASSERT_NE(chunked, nullptr);
+  EXPECT_EQ(whole->status(), 200);
+  EXPECT_EQ(chunked->status(), 200);
+}
+
+// Guards against refusals that don't say that the request hasn't run or when to
+// try again.
+TEST_F(LargestBodyTest, IsRefusedWithATimeWhileOthersHoldTheMemory) {
+  const std::string most = WithLength(kMaxBodyBytes, kMaxBodyBytes - 1);
+  Caller* refused = nullptr;
+  process_->Start();
+  WhenReady([&] {
+    // As many as three quarters of the budget hold, and one more.
+    for (int i = 0; i < 18; ++i) {
+      crowd_.push_back(
+          std::make_unique<Sender>(process_->callers_address(), &most));
+    }
+    connected_at_ = last_sent_at_ = loop_.Now();
+    AwaitHeads([&] {
+      refused = SendTo(process_->callers_address(),
+                       most.substr(0, most.size() - kMaxBodyBytes + 2));
+      AwaitAnswer(refused, [this] { loop_.Quit(); });
+    });
+  });
+  loop_.After(kMaxTestTime, [this] { loop_.Quit(); });
+  loop_.Run();
+  ASSERT_NE(refused, nullptr);
+  EXPECT_EQ(refused->status(), 503);
+  EXPECT_EQ(refused->answer().fields().Find("Retry-After"), "1");
+  EXPECT_TRUE(a_.started_requests().empty());
+  EXPECT_TRUE(b_.started_requests().empty());
+}
+
 INSTANTIATE_TEST_SUITE_P(Shapes,
                          ConnectionCrowdTest,
                          testing::ValuesIn(Shapes()),
