--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -17,6 +17,10 @@
 ABSL_FLAG(std::string, folder, "", "Folder of the exported log.");
 ABSL_FLAG(std::string, at, "", "IP:port on which an instance serves callers.");
 ABSL_FLAG(std::string, salt, "", "Salt of a key hash.");
+ABSL_FLAG(std::string,
+          against,
+          "",
+          "Configuration to compare with, such as the one in force.");
 ABSL_FLAG(int64_t,
           timeout_ms,
           10000,
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -15,6 +15,7 @@
 ABSL_DECLARE_FLAG(std::string, folder);
 ABSL_DECLARE_FLAG(std::string, at);
 ABSL_DECLARE_FLAG(std::string, salt);
+ABSL_DECLARE_FLAG(std::string, against);
 ABSL_DECLARE_FLAG(int64_t, timeout_ms);
 
 #endif  // CLI_FLAGS_H_
--- a/src/state/routing_config.h
+++ b/src/state/routing_config.h
@@ -26,6 +26,8 @@
 
   int64_t version() const { return version_; }
   const CallerLimits& limits() const { return limits_; }
+  const std::vector<Route>& routes() const { return routes_; }
+  const std::vector<RoutedService>& services() const { return services_; }
   const std::vector<Organisation>& organisations() const {
     return organisations_;
   }
