Test the source of a fetched prefix apart from the choice of the engine

Cause: the two tests for evacuated engines and allowed regions would have passed if only the source of a prefix had ignored them: the engine chosen next needs no fetch. Change: that engine is made busy, so that a third one fetches the prefix. Result: each test fails if only FindPrefixSource lacks its check.

--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -132,9 +132,14 @@
                         Millis(1000));
   EXPECT_EQ(view.Choose(prompt).fetch_from, first.address);
   view.registry_.evacuated().OnRecord({0, 1}, "b", true);
-  const Placement::Choice other = view.Choose(prompt);
-  EXPECT_NE(other.id, first.id);
-  EXPECT_NE(other.fetch_from, first.address);
+  // The session's engine is assumed to have the prefix; a third one fetches it.
+  const Placement::Choice second = view.Choose(prompt);
+  EXPECT_NE(second.id, first.id);
+  view.registry_.OnSent(kNow, *view.registry_.Find(second.id, 1), 60000,
+                        Millis(1000));
+  const Placement::Choice third = view.Choose(prompt);
+  EXPECT_NE(third.id, first.id);
+  EXPECT_EQ(third.fetch_from, second.address);
 }
 
 // Guards against a prefix that leaves the regions in which its organisation may
@@ -154,9 +159,14 @@
   EXPECT_EQ(view.Choose(prompt).id, first.id);
   const std::vector<std::string> east = {"east"};
   view.allowed_regions_ = AllowedRegions(&east, nullptr);
-  const Placement::Choice other = view.Choose(prompt);
-  EXPECT_NE(other.id, first.id);
-  EXPECT_NE(other.fetch_from, first.address);
+  // The session's engine is assumed to have the prefix; a third one fetches it.
+  const Placement::Choice second = view.Choose(prompt);
+  EXPECT_NE(second.id, first.id);
+  view.registry_.OnSent(kNow, *view.registry_.Find(second.id, 1), 60000,
+                        Millis(1000));
+  const Placement::Choice third = view.Choose(prompt);
+  EXPECT_NE(third.id, first.id);
+  EXPECT_EQ(third.fetch_from, second.address);
 }
 
 // Many instances choose engines between two load reports of their peers, so the
