--- a/src/coordination/endpoint_registry.cpp
+++ b/src/coordination/endpoint_registry.cpp
@@ -96,7 +96,6 @@
   by_hash_[fresh.incarnation_hash] = entry.id;
   notices_.cold().OnEntry(now, fresh.incarnation_hash, entry.service,
                           entry.cold_remaining);
-  services_.try_emplace(entry.service, Service{StableHash(entry.service), {}});
   endpoints_.emplace(entry.id, std::move(fresh));
   return true;
 }
@@ -156,7 +155,6 @@
   const auto it = endpoints_.find(id);
   by_hash_.erase(it->second.incarnation_hash);
   notices_.Forget(it->second.incarnation_hash);
-  speeds_.Forget(it->second.incarnation_hash);
   endpoints_.erase(it);
 }
 
@@ -277,12 +275,10 @@
           now - state->missing_since < kMissingGrace);
 }
 
-EndpointTicket EndpointRegistry::OnSent(
-    Millis now,
-    const EndpointState& chosen,
-    int64_t uncached_tokens,
-    Millis predicted,
-    const std::optional<PrefillWork>& work) {
+EndpointTicket EndpointRegistry::OnSent(Millis now,
+                                        const EndpointState& chosen,
+                                        int64_t uncached_tokens,
+                                        Millis predicted) {
   notices_.OnSent(now, chosen.incarnation_hash);
   EndpointTicket ticket;
   ticket.id = chosen.entry.id;
@@ -291,7 +287,6 @@
   ticket.uncached_tokens = uncached_tokens;
   ticket.sent_at = now;
   ticket.predicted = predicted;
-  ticket.work = work;
   if (EndpointState* state = FindMutable(ticket.id, ticket.start_unix_ms)) {
     state->own_load.uncached_tokens += uncached_tokens;
     ++state->own_load.open;
@@ -300,9 +295,7 @@
   return ticket;
 }
 
-void EndpointRegistry::OnFirstByte(Millis now,
-                                   EndpointTicket* ticket,
-                                   bool shows_speed) {
+void EndpointRegistry::OnFirstByte(Millis now, EndpointTicket* ticket) {
   if (ticket->answered) {
     return;
   }
@@ -314,23 +307,8 @@
   }
   state->own_load.uncached_tokens -= uncached_tokens;
   RemoveFirstByteDue(*ticket, state);
-  if (!shows_speed) {
-    return;
-  }
   const auto waited = static_cast<double>(
       std::max<int64_t>(1, (now - ticket->sent_at).count()));
-  const auto service = services_.find(state->entry.service);
-  if (ticket->work && service != services_.end()) {
-    ServiceSpeed& speed = service->second.speed;
-    const auto tokens = static_cast<double>(ticket->work->tokens);
-    const double usual =
-        (speed.TimeToFirstEvent(tokens) + ticket->work->attention_ms) *
-        ticket->work->slowdown;
-    speeds_.OnSample(ticket->incarnation_hash, waited / usual);
-    speed.OnSample(tokens, std::max(1.0, waited / ticket->work->slowdown -
-                                             ticket->work->attention_ms));
-    return;
-  }
   const auto predicted =
       static_cast<double>(std::max<int64_t>(1, ticket->predicted.count()));
   const double ratio =
@@ -349,12 +327,6 @@
   if (state == nullptr) {
     return;
   }
-  const auto service = services_.find(state->entry.service);
-  if (ticket->work && outcome == EndpointOutcome::kAnswered &&
-      service != services_.end()) {
-    service->second.speed.OnAnswered(
-        static_cast<double>((now - ticket->sent_at).count()));
-  }
   const bool lost = outcome == EndpointOutcome::kLost ||
                     outcome == EndpointOutcome::kUnreachable ||
                     outcome == EndpointOutcome::kMisdirected;
@@ -433,59 +405,8 @@
   known = {now, std::move(report)};
 }
 
-std::vector<ReportedServiceSpeed> EndpointRegistry::MakeServiceSpeedReport()
-    const {
-  std::vector<ReportedServiceSpeed> report;
-  for (const auto& [name, service] : services_) {
-    if (service.speed.own().weight > 0) {
-      report.push_back({service.name_hash, service.speed.own()});
-    }
-  }
-  return report;
-}
-
-void EndpointRegistry::OnReportedSpeeds(
-    uint64_t peer,
-    const std::vector<ReportedSpeed>& endpoints,
-    const std::vector<ReportedServiceSpeed>& services) {
-  for (const ReportedSpeed& it : endpoints) {
-    if (by_hash_.contains(it.endpoint)) {
-      speeds_.OnReported(peer, it);
-    }
-  }
-  for (const ReportedServiceSpeed& it : services) {
-    for (auto& [name, service] : services_) {
-      if (service.name_hash == it.service) {
-        service.speed.OnReported(peer, it.sums);
-      }
-    }
-  }
-}
-
-std::vector<std::string> EndpointRegistry::ServiceNames() const {
-  std::vector<std::string> names;
-  for (const auto& [name, service] : services_) {
-    names.push_back(name);
-  }
-  return names;
-}
-
-const ServiceSpeed& EndpointRegistry::SpeedOf(
-    const std::string& service) const {
-  static const ServiceSpeed kInitial;
-  const auto it = services_.find(service);
-  return it == services_.end() ? kInitial : it->second.speed;
-}
-
 void EndpointRegistry::OnTick(Millis now) {
   notices_.OnTick(now);
-  speeds_.OnTick(now);
-  for (auto& [name, service] : services_) {
-    service.speed.OnTick(now);
-  }
-  for (auto& [id, state] : endpoints_) {
-    state.speed_factor = speeds_.FactorOf(state.incarnation_hash);
-  }
   evacuated_.OnTick(now);
   std::vector<std::string> expired;
   for (const auto& [id, state] : endpoints_) {
--- a/src/coordination/endpoint_registry.h
+++ b/src/coordination/endpoint_registry.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -12,13 +11,9 @@
 #include "coordination/allowed_regions.h"
 #include "coordination/endpoint_load.h"
 #include "coordination/endpoint_notices.h"
-#include "coordination/endpoint_speeds.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/endpoint_ticket.h"
 #include "coordination/evacuated_data_centres.h"
-#include "coordination/prefill_work.h"
-#include "coordination/reported_service_speed.h"
-#include "coordination/service_speed.h"
 #include "state/endpoint_entry.h"
 #include "state/millis.h"
 
@@ -99,16 +94,13 @@
                   int64_t start_unix_ms) const;
 
   //! A request is sent to an endpoint, which then has `uncached_tokens` to
-  //! prefill and is predicted to begin its answer after `predicted`. `work` is
-  //! given for requests whose time to the first event shows the engine's speed.
+  //! prefill and is predicted to begin its answer after `predicted`.
   EndpointTicket OnSent(Millis now,
                         const EndpointState& chosen,
                         int64_t uncached_tokens,
-                        Millis predicted,
-                        const std::optional<PrefillWork>& work = std::nullopt);
-  //! The first byte of the answer arrived. `shows_speed`: the time until then
-  //! depends on the endpoint, neither a refusal nor the own link.
-  void OnFirstByte(Millis now, EndpointTicket* ticket, bool shows_speed = true);
+                        Millis predicted);
+  //! The first byte of the answer arrived.
+  void OnFirstByte(Millis now, EndpointTicket* ticket);
   //! The attempt ended. Precondition: called once for each ticket.
   void OnEnded(Millis now, EndpointTicket* ticket, EndpointOutcome outcome);
   //! The attempt was cancelled for a reason unrelated to the endpoint's health.
@@ -119,20 +111,8 @@
   LoadReport OwnLoad() const;
   //! Replaces the previous report of a peer.
   void SetPeerLoad(Millis now, uint64_t peer, LoadReport report);
-  //! Measured speeds, for the peers; see EndpointSpeeds and ServiceSpeed.
-  std::vector<ReportedSpeed> MakeSpeedReport() { return speeds_.MakeReport(); }
-  std::vector<ReportedServiceSpeed> MakeServiceSpeedReport() const;
-  //! A peer's report, which may name endpoints and services unknown here.
-  void OnReportedSpeeds(uint64_t peer,
-                        const std::vector<ReportedSpeed>& endpoints,
-                        const std::vector<ReportedServiceSpeed>& services);
-  //! Speed of a service's engines; initial values for an unknown service.
-  const ServiceSpeed& SpeedOf(const std::string& service) const;
-  //! Names of the services that have had an endpoint.
-  std::vector<std::string> ServiceNames() const;
-
-  //! Updates the measured speeds. Drops load reports older than 600 ms, and
-  //! endpoints that have been missing for more than 30 s.
+  //! Drops load reports older than 600 ms, and endpoints that have been missing
+  //! for more than 30 s.
   void OnTick(Millis now);
 
   //! A peer reported that an endpoint, which may be unknown here, leaves.
@@ -171,10 +151,6 @@
   int64_t open() const;
 
  private:
-  struct Service {
-    uint64_t name_hash = 0;
-    ServiceSpeed speed;
-  };
   struct PeerLoad {
     Millis reported_at;
     LoadReport report;
@@ -195,8 +171,6 @@
   std::map<std::string, std::pair<int64_t, int64_t>> removed_;
   std::map<uint64_t, PeerLoad> peers_;
   EndpointNotices notices_;
-  EndpointSpeeds speeds_;
-  std::map<std::string, Service> services_;  //!< By name.
   EvacuatedDataCentres evacuated_;
   std::map<std::string, std::string> regions_;  //!< By data centre.
 };
--- a/src/coordination/endpoint_state.h
+++ b/src/coordination/endpoint_state.h
@@ -33,12 +33,8 @@
   Millis suspended_until;
   //! Predicted times of the first bytes of unanswered requests, ms.
   std::multiset<int64_t> first_bytes_due_ms;
-  //! Smoothed ratio of measured to predicted time to the first byte, for
-  //! endpoints without engines.
+  //! Smoothed ratio of measured to predicted time to the first event.
   double latency_ratio = 1;
-  //! Time to the first event of an engine as a multiple of the service's; see
-  //! EndpointSpeeds.
-  double speed_factor = 1;
 
   int64_t uncached_tokens() const {
     return own_load.uncached_tokens + peer_load.uncached_tokens;
--- a/src/coordination/endpoint_ticket.h
+++ b/src/coordination/endpoint_ticket.h
@@ -2,10 +2,8 @@
 #define COORDINATION_ENDPOINT_TICKET_H_
 
 #include <cstdint>
-#include <optional>
 #include <string>
 
-#include "coordination/prefill_work.h"
 #include "state/millis.h"
 
 namespace tamaracktrail {
@@ -20,8 +18,6 @@
   Millis sent_at;
   Millis predicted;  //!< Time from the send to the first byte.
   bool answered = false;
-  //! Set if the time to the first event shows the engine's speed.
-  std::optional<PrefillWork> work;
 
   friend bool operator==(const EndpointTicket&,
                          const EndpointTicket&) = default;
--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -15,6 +15,13 @@
 
 namespace {
 
+//! Prompt tokens that an engine prefills per millisecond. Engine types prefill
+//! 61 to 68; the latency ratio of each endpoint corrects for its actual speed.
+constexpr double kPrefillTokensPerMs = 60;
+
+//! Time from the send to the first event with no tokens to prefill, ms.
+constexpr double kFirstEventBaseMs = 45;
+
 //! Each open request of an engine slows its steps by this fraction.
 constexpr double kStepSlowdownPerRequest = 0.004;
 
@@ -64,23 +71,15 @@
 //! Random cost that keeps instances with the same view from all choosing the
 //! same endpoint, ms.
 constexpr double kMaxJitterMs = 6;
-//! The same for engines: about the error of the measured speeds, as otherwise
-//! all instances choose the one that appears to be the fastest.
-constexpr double kMaxEngineJitterMs = 30;
-
-//! A first event within this fraction of its target is good enough: faster
-//! engines don't cost less, and a session's engine is kept. Without this, all
-//! sessions move from the slower engines to the fastest, which get more
-//! requests within the delay of the reports than they have slots.
-constexpr double kCertainFraction = 0.4;
 
 //! A prefix that was last used longer ago may have been evicted from the
 //! engine's cache.
 constexpr Millis kPrefixCacheLifetime{20000};
 
-double AttentionMs(int64_t tokens) {
+double PrefillMs(int64_t tokens) {
   const double k_tokens = static_cast<double>(tokens) / 1000;
-  return kAttentionSecondsPerKTokensSquared * 1000 * k_tokens * k_tokens;
+  return static_cast<double>(tokens) / kPrefillTokensPerMs +
+         kAttentionSecondsPerKTokensSquared * 1000 * k_tokens * k_tokens;
 }
 
 double HealthCostMs(Millis now, const EndpointState& state) {
@@ -100,8 +99,6 @@
   double cost_ms = 0;           //!< Prediction with all penalties.
   double predicted_ms = 0;      //!< To the first event.
   int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
-  PrefillWork work;             //!< Of an engine.
-  bool waits_for_slot = false;  //!< All slots of the engine are taken.
   //! Engine to fetch the shared prefix from; nullptr for none.
   const EndpointState* fetch_from = nullptr;
 };
@@ -152,7 +149,6 @@
 Placement::Estimate Placement::EstimateEngine(
     Millis now,
     const Request& request,
-    const ServiceSpeed& speed,
     const EndpointState& state,
     const EndpointState* preferred) const {
   const PromptShape& prompt = *request.prompt;
@@ -186,23 +182,17 @@
   const bool fetches = estimate.fetch_from != nullptr;
   estimate.uncached_tokens = std::max<int64_t>(
       0, prompt.prompt_tokens - (fetches ? shared_tokens : cached_tokens));
-  estimate.work.tokens =
-      std::max<int64_t>(0, state.uncached_tokens()) + estimate.uncached_tokens;
-  estimate.work.slowdown = 1 + kStepSlowdownPerRequest * state.open();
-  estimate.work.attention_ms = AttentionMs(estimate.uncached_tokens);
-  const double slots = std::max(1, state.entry.slots);
-  const double wait_ms = std::max(0.0, state.open() + 1 - slots) / slots *
-                         speed.answer_ms() * state.speed_factor;
-  estimate.waits_for_slot = wait_ms > 0;
+  const double latency_factor =
+      state.latency_ratio * (1 + kStepSlowdownPerRequest * state.open());
+  const double queued_ms =
+      static_cast<double>(std::max<int64_t>(0, state.uncached_tokens())) /
+      kPrefillTokensPerMs;
   estimate.predicted_ms =
-      (speed.TimeToFirstEvent(static_cast<double>(estimate.work.tokens)) +
-       estimate.work.attention_ms) *
-          estimate.work.slowdown * state.speed_factor +
-      wait_ms + fetch_ms;
+      (kFirstEventBaseMs + queued_ms + PrefillMs(estimate.uncached_tokens)) *
+          latency_factor +
+      fetch_ms;
   estimate.cost_ms =
-      std::max(estimate.predicted_ms,
-               kCertainFraction *
-                   static_cast<double>(request.first_event_target.count())) +
+      estimate.predicted_ms +
       (fetches ? kFetchCostMsPerKTokens : kPrefillAgainCostMsPerKTokens) *
           static_cast<double>(missing_tokens) / 1000;
   if (estimate.uncached_tokens > kLongPrefillTokens) {
@@ -247,12 +237,11 @@
 Placement::Estimate Placement::EstimateEndpoint(
     Millis now,
     const Request& request,
-    const ServiceSpeed& speed,
     const EndpointState& state,
     const EndpointState* preferred) const {
   Estimate estimate;
   if (request.prompt != nullptr && request.service->has_engines) {
-    estimate = EstimateEngine(now, request, speed, state, preferred);
+    estimate = EstimateEngine(now, request, state, preferred);
   } else {
     estimate.predicted_ms = EstimateWithoutPrefill(state);
     estimate.cost_ms = estimate.predicted_ms;
@@ -274,9 +263,6 @@
       registry_->Usable(now, request.service->name, request.allowed_regions);
   const EndpointState* preferred =
       request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
-  const ServiceSpeed& speed = registry_->SpeedOf(request.service->name);
-  const double max_jitter =
-      request.prompt != nullptr ? kMaxEngineJitterMs : kMaxJitterMs;
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double min_cost = std::numeric_limits<double>::infinity();
@@ -286,14 +272,13 @@
         request.tried->contains(state.incarnation_hash)) {
       continue;
     }
-    const Estimate estimate =
-        EstimateEndpoint(now, request, speed, state, preferred);
+    const Estimate estimate = EstimateEndpoint(now, request, state, preferred);
     // The fraction of this product gives each endpoint its own random cost from
     // one random number.
     const double scaled_jitter = jitter * static_cast<double>(i + 1);
     const double cost =
         estimate.cost_ms +
-        max_jitter * (scaled_jitter - std::floor(scaled_jitter));
+        kMaxJitterMs * (scaled_jitter - std::floor(scaled_jitter));
     if (cost < min_cost) {
       min_cost = cost;
       chosen = &state;
@@ -312,9 +297,6 @@
   choice.uncached_tokens = chosen_estimate.uncached_tokens;
   if (chosen_estimate.fetch_from != nullptr) {
     choice.fetch_from = chosen_estimate.fetch_from->entry.address;
-  } else if (request.prompt != nullptr && request.service->has_engines &&
-             !chosen_estimate.waits_for_slot) {
-    choice.work = chosen_estimate.work;
   }
   return choice;
 }
--- a/src/coordination/placement.h
+++ b/src/coordination/placement.h
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "coordination/allowed_regions.h"
-#include "coordination/prefill_work.h"
 #include "coordination/prompt_shape.h"
 #include "state/millis.h"
 
@@ -16,7 +15,6 @@
 
 class EndpointRegistry;
 class PrefixCacheIndex;
-class ServiceSpeed;
 struct EndpointState;
 struct RoutedService;
 
@@ -36,9 +34,6 @@
     const std::vector<uint64_t>* prefix_hashes = nullptr;
     //! Hashes of the incarnations that this request was already sent to.
     const std::set<uint64_t>* tried = nullptr;
-    //! Targets of the route; 0 for none.
-    Millis first_event_target;
-    Millis gap_target;
     AllowedRegions allowed_regions;
   };
 
@@ -51,8 +46,6 @@
     //! without engines.
     Millis predicted;
     int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
-    //! For engines, unless the request fetches a prefix: to measure the speed.
-    std::optional<PrefillWork> work;
     //! Address of the engine to fetch the shared prefix from, or "".
     std::string fetch_from;
   };
@@ -85,12 +78,10 @@
                                         const EndpointState* preferred) const;
   Estimate EstimateEngine(Millis now,
                           const Request& request,
-                          const ServiceSpeed& speed,
                           const EndpointState& state,
                           const EndpointState* preferred) const;
   Estimate EstimateEndpoint(Millis now,
                             const Request& request,
-                            const ServiceSpeed& speed,
                             const EndpointState& state,
                             const EndpointState* preferred) const;
   //! Returns the engine that all instances prefer for the request's session;
--- a/src/transport/peer_gossip.h
+++ b/src/transport/peer_gossip.h
@@ -14,8 +14,6 @@
 #include "coordination/lending_message.h"
 #include "coordination/link_load.h"
 #include "coordination/reported_limit.h"
-#include "coordination/reported_service_speed.h"
-#include "coordination/reported_speed.h"
 #include "coordination/suspect_crash.h"
 #include "coordination/topic_position.h"
 #include "state/millis.h"
@@ -56,9 +54,6 @@
     std::vector<uint64_t> leaving;
     std::vector<LendableHint> lendable;
     LinkLoad link;
-    //! Measured speeds of some endpoints, and of all services with samples.
-    std::vector<ReportedSpeed> speeds;
-    std::vector<ReportedServiceSpeed> service_speeds;
 
     //! Whether the reports agree in configuration version, evacuations,
     //! instances, loads, crashes, limits but for their age, leaving endpoints
@@ -84,8 +79,7 @@
     void serialize(Archive& archive) {
       archive(incarnation, instance, config_version, evacuations_as_of,
               evacuations_digest, directory_age_ms, instances, instances_age_ms,
-              address, loads, crashes, limits, leaving, lendable, link, speeds,
-              service_speeds);
+              address, loads, crashes, limits, leaving, lendable, link);
     }
   };
   using OnReport = std::function<void(const Report& report)>;
--- a/src/transport/relay/relay_context.cpp
+++ b/src/transport/relay/relay_context.cpp
@@ -23,9 +23,6 @@
 //! A crashed endpoint refuses connections at once if its machine is alive.
 constexpr Millis kCrashCheckTimeout{300};
 
-//! A link that is used by less than this fraction delays few requests.
-constexpr double kMaxFreeUse = 0.7;
-
 //! Returns a number in [0, 1) that differs between incarnations.
 double UniformFraction(uint64_t incarnation) {
   std::mt19937_64 random(incarnation);
@@ -76,12 +73,6 @@
                                         std::move(cold_per_second));
 }
 
-bool RelayContext::HasFreeLink() const {
-  return !congestion.active() && !diversion.active() &&
-         (options.link_mbps <= 0 ||
-          diversion.UseMbps(loop->Now()) < kMaxFreeUse * options.link_mbps);
-}
-
 void RelayContext::SetInstances(int n) {
   instances = std::max(1, n);
   shares.SetInstances(instances);
--- a/src/transport/relay/relay_context.h
+++ b/src/transport/relay/relay_context.h
@@ -67,10 +67,6 @@
     return outage.active() || congestion.active() || diversion.active();
   }
 
-  //! Whether the own link delays requests and answers little, so that their
-  //! times show the endpoints' speed.
-  bool HasFreeLink() const;
-
   //! Sets the number of instances that share the budgets.
   void SetInstances(int n);
 
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -50,9 +50,6 @@
 //! is at most a fraction of the remaining time, but not below a minimum.
 constexpr int64_t kFirstByteTimeoutFactor = 4;
 constexpr Millis kMinFirstByteTimeout{150};
-//! The same for engines: a prompt of another instance, which this one does not
-//! know yet, may delay the first event by 100 ms.
-constexpr Millis kMinFirstEventTimeout{180};
 constexpr double kMaxFirstByteTimeoutFraction = 0.4;
 
 //! A request is refused if its first event is predicted after more than this
@@ -242,8 +239,6 @@
   placement_request.prompt = prompt_ ? &*prompt_ : nullptr;
   placement_request.prefix_hashes = &prefix_hashes_;
   placement_request.tried = &tried_endpoints_;
-  placement_request.first_event_target = route_->latency_objective;
-  placement_request.gap_target = route_->gap_objective;
   placement_request.allowed_regions = allowed_regions_;
   const auto choice = context_->placement.Choose(now, placement_request,
                                                  context_->RandomFraction());
@@ -319,8 +314,7 @@
       .Add("fetch_from", choice.fetch_from)
       .Add("left_ms", Remaining());
   ticket_ = context_->registry.OnSent(now, state, choice.uncached_tokens,
-                                      choice.predicted,
-                                      head_sent_ ? std::nullopt : choice.work);
+                                      choice.predicted);
   context_->prefix_cache_index.OnPromptSent(now, prefix_hashes_,
                                             choice.incarnation_hash);
   EndpointCall::Options options;
@@ -399,7 +393,7 @@
     return;
   }
   const Millis timeout =
-      std::max(prompt_ ? kMinFirstEventTimeout : kMinFirstByteTimeout,
+      std::max(kMinFirstByteTimeout,
                std::min(predicted * kFirstByteTimeoutFactor,
                         Remaining().Scaled(kMaxFirstByteTimeoutFraction)));
   first_byte_timer_ =
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -93,9 +93,7 @@
     ReadWait(answer);
   }
   if (ticket_) {
-    context_->registry.OnFirstByte(
-        context_->loop->Now(), &*ticket_,
-        answer.status() / 100 == 2 && context_->HasFreeLink());
+    context_->registry.OnFirstByte(context_->loop->Now(), &*ticket_);
   }
   context_->loop->Cancel(&first_byte_timer_);
   answer_framing_ = answer.framing();
--- a/tests/coordination/endpoint_registry_test.cpp
+++ b/tests/coordination/endpoint_registry_test.cpp
@@ -320,49 +320,5 @@
   EXPECT_EQ(registry.Usable(kNow + Millis(60000), "llm").size(), 2U);
 }
 
-//! Requests of 1000 tokens get their first event after `ms`.
-void Answer(EndpointRegistry* registry, int64_t ms, bool shows_speed) {
-  EndpointTicket ticket = registry->OnSent(kNow, *registry->Find("e", 1), 1000,
-                                           Millis(60), PrefillWork{1000, 1, 0});
-  registry->OnFirstByte(kNow + Millis(ms), &ticket, shows_speed);
-  registry->OnEnded(kNow + Millis(ms), &ticket, EndpointOutcome::kAnswered);
-}
-
-// An engine that refused at once looked like a fast one and got more requests;
-// behind a congested link, all looked slow.
-TEST(EndpointRegistryTest, OnlyAnswersThatShowTheSpeedChangeIt) {
-  EndpointRegistry registry;
-  registry.Apply(kNow, Entry("e", 1, 1));
-  for (int i = 0; i < 20; ++i) {
-    Answer(&registry, 1, false);
-    Answer(&registry, 5000, false);
-  }
-  registry.OnTick(kNow + Millis(5000));
-  EXPECT_EQ(registry.Find("e", 1)->speed_factor, 1);
-  EXPECT_EQ(registry.Find("e", 1)->latency_ratio, 1);
-  EXPECT_TRUE(registry.MakeSpeedReport().empty());
-  EXPECT_TRUE(registry.MakeServiceSpeedReport().empty());
-  for (int i = 0; i < 20; ++i) {
-    Answer(&registry, 200, true);
-  }
-  registry.OnTick(kNow + Millis(5500));
-  EXPECT_GT(registry.Find("e", 1)->speed_factor, 1.5);
-  EXPECT_GT(registry.SpeedOf("llm").TimeToFirstEvent(1000), 100);
-}
-
-// Speed belongs to an incarnation: a slow engine that starts again may be fast.
-TEST(EndpointRegistryTest, NewIncarnationHasNoMeasuredSpeed) {
-  EndpointRegistry registry;
-  registry.Apply(kNow, Entry("e", 1, 1));
-  const uint64_t first = registry.Find("e", 1)->incarnation_hash;
-  registry.OnReportedSpeeds(1, {{first, 10, 10}}, {});
-  registry.OnTick(kNow);
-  EXPECT_GT(registry.Find("e", 1)->speed_factor, 2);
-  registry.Apply(kNow, Entry("e", 2, 2));
-  registry.OnReportedSpeeds(1, {{first, 10, 10}}, {});
-  registry.OnTick(kNow);
-  EXPECT_EQ(registry.Find("e", 2)->speed_factor, 1);
-}
-
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/coordination/placement_test.cpp
+++ b/tests/coordination/placement_test.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <memory>
 #include <random>
@@ -15,8 +14,6 @@
 #include "coordination/endpoint_registry.h"
 #include "coordination/endpoint_state.h"
 #include "coordination/prefix_cache_index.h"
-#include "coordination/service_speed.h"
-#include "state/digest.h"
 #include "state/endpoint_entry.h"
 #include "state/routed_service.h"
 
@@ -220,38 +217,6 @@
   EXPECT_NE(view.Choose(prompt, kNow + Millis(4000)).id, preferred.id);
 }
 
-// A third of a service's engines is 2.4 times as slow as the others; requests
-// were placed without regard to that until an instance had measured it alone.
-TEST(PlacementTest, EngineThatPeersMeasuredAsSlowIsAvoided) {
-  InstanceView view;
-  const PromptShape prompt = Prompt("session", 6000);
-  const Placement::Choice preferred = view.Choose(prompt);
-  ASSERT_TRUE(preferred.work);
-  view.registry_.OnReportedSpeeds(1,
-                                  {{preferred.incarnation_hash, 10,
-                                    static_cast<float>(10 * std::log(2.4))}},
-                                  {});
-  view.registry_.OnTick(kNow);
-  const Placement::Choice other = view.Choose(prompt);
-  EXPECT_NE(other.id, preferred.id);
-}
-
-// The predicted time decides whether a request is refused as certainly late.
-TEST(PlacementTest, PredictionFollowsTheMeasuredSpeedOfTheService) {
-  InstanceView view;
-  const PromptShape prompt = Prompt("session", 10000);
-  ServiceSpeed fast;
-  for (int i = 0; i < 300; ++i) {
-    fast.OnSample(1000.0 * (i % 20), 15 + 8.0 * (i % 20));
-  }
-  const auto name_hash = StableHash("llm");
-  const Millis before = view.Choose(prompt).predicted;
-  view.registry_.OnReportedSpeeds(1, {}, {{name_hash, fast.own()}});
-  view.registry_.OnTick(kNow);
-  EXPECT_GT(before, Millis(200));
-  EXPECT_LT(view.Choose(prompt).predicted, Millis(125));
-}
-
 TEST(PlacementTest, ServiceWithoutEndpointsReturnsNoChoice) {
   InstanceView view;
   const PromptShape prompt = Prompt("session", 600);
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -334,8 +334,6 @@
   report.crashes = {{5, {6, 7}, 3, 20}};
   report.limits = {{1, 1.5, 20}};
   report.lendable = {{3, 12}};
-  report.speeds = {{1, 2.5F, -0.5F}};
-  report.service_speeds = {{9, {1, 2, 3, 4, 5}}};
   a.SetPeers({address_b});
   a.Send(report);
   const TokenLoan loan{"a", 7, address_a, 8, 2, 3, 1, "cedar", 500, 90000};
