Place prompts by the pauses that they cause

Cause: prompts over a constant of 16,000 tokens avoided engines with many streams, whatever the engine prefills and the targets are.

Change: the pause between two events of an engine's streams is predicted from the measured speeds; above 0.6 of the route's target each open request has a cost.

LongPromptsTest fails without the change.

--- a/src/coordination/placement.cpp
+++ b/src/coordination/placement.cpp
@@ -56,10 +56,19 @@
 //! An answer that is overdue by up to this time adds no cost.
 constexpr Millis kToleratedDelay{300};
 
-//! Prefilling more tokens than this delays all streams of the engine.
-constexpr int64_t kLongPrefillTokens = 16000;
-//! Cost of that delay for each open request, ms.
-constexpr double kStreamDelayMs = 15;
+//! An engine prefills this many tokens between two tokens of its streams.
+constexpr double kChunkTokens = 2048;
+//! Time of a step without prefill and for each open request, ms: engine types
+//! take 3.1 to 3.8 and 0.08 to 0.10.
+constexpr double kStepMs = 3.4;
+constexpr double kStepMsPerRequest = 0.09;
+
+//! Prefilling delays the streams of an engine if the pause between two events
+//! is predicted to exceed this fraction of its target; the measured speeds and
+//! the load that peers report are wrong by a few tenths.
+constexpr double kToleratedPauseFraction = 0.6;
+//! Cost for each open request, if the prompt takes up the whole pause, ms.
+constexpr double kLateStreamMs = 60;
 
 //! Random cost that keeps instances with the same view from all choosing the
 //! same endpoint, ms.
@@ -83,6 +92,71 @@
   return kAttentionSecondsPerKTokensSquared * 1000 * k_tokens * k_tokens;
 }
 
+double EventTokens(const Placement::Request& request) {
+  return std::max(1, request.service->tokens_per_event);
+}
+
+//! Returns the predicted pause between two events of the streams at an engine
+//! that has `tokens` to prefill.
+double PauseMs(const Placement::Request& request,
+               const ServiceSpeed& speed,
+               const EndpointState& state,
+               int64_t tokens) {
+  const double steps = EventTokens(request);
+  return state.speed_factor *
+         (steps * (kStepMs + kStepMsPerRequest * state.open()) +
+          std::min(steps * kChunkTokens, static_cast<double>(tokens)) /
+              speed.tokens_per_ms());
+}
+
+//! Returns the cost of the delay that a prompt with `own_tokens` to prefill
+//! causes to the streams at an engine.
+double LateStreamCostMs(const Placement::Request& request,
+                        const ServiceSpeed& speed,
+                        const EndpointState& state,
+                        const PrefillWork& work,
+                        int64_t own_tokens) {
+  const auto target = static_cast<double>(request.gap_target.count());
+  if (target <= 0 || PauseMs(request, speed, state, work.tokens) <=
+                         kToleratedPauseFraction * target) {
+    return 0;
+  }
+  return kLateStreamMs * state.open() *
+         std::min(1.0, static_cast<double>(own_tokens) /
+                           (EventTokens(request) * kChunkTokens));
+}
+
+double FetchMs(const RoutedService& service, int64_t tokens) {
+  const double bits = static_cast<double>(tokens) * 8 *
+                      static_cast<double>(service.kv_token_bytes);
+  // Mbit/s * 1000 = bits per ms.
+  return kFetchSetupMs + bits / (service.link_mbps * 1000);
+}
+
+PrefillWork WorkOf(const EndpointState& state, int64_t own_tokens) {
+  PrefillWork work;
+  work.tokens = std::max<int64_t>(0, state.uncached_tokens()) + own_tokens;
+  work.slowdown = 1 + kStepSlowdownPerRequest * state.open();
+  work.attention_ms = AttentionMs(own_tokens);
+  return work;
+}
+
+//! Returns the time to the first event with a free slot.
+double PredictedMs(const ServiceSpeed& speed,
+                   const EndpointState& state,
+                   const PrefillWork& work) {
+  return (speed.TimeToFirstEvent(static_cast<double>(work.tokens)) +
+          work.attention_ms) *
+         work.slowdown * state.speed_factor;
+}
+
+//! Returns the time that a request waits until one of the open ones ends.
+double SlotWaitMs(const ServiceSpeed& speed, const EndpointState& state) {
+  const double slots = std::max(1, state.entry.slots);
+  return std::max(0.0, state.open() + 1 - slots) / slots * speed.answer_ms() *
+         state.speed_factor;
+}
+
 double HealthCostMs(Millis now, const EndpointState& state) {
   double ms = DecayedFailureRate(now, state) * kFailureCostMs;
   if (!state.first_bytes_due_ms.empty()) {
@@ -101,7 +175,7 @@
   double predicted_ms = 0;      //!< To the first event.
   int64_t uncached_tokens = 0;  //!< Prompt tokens to prefill.
   PrefillWork work;             //!< Of an engine.
-  bool waits_for_slot = false;  //!< All slots of the engine are taken.
+  double slot_wait_ms = 0;      //!< Until a slot of the engine is free.
   //! Engine to fetch the shared prefix from; nullptr for none.
   const EndpointState* fetch_from = nullptr;
 };
@@ -173,37 +247,24 @@
     const EndpointState* source = FindPrefixSource(now, prefix, preferred);
     if (source != nullptr && source != &state) {
       estimate.fetch_from = source;
-      const double bits = static_cast<double>(missing_tokens) * 8 *
-                          static_cast<double>(request.service->kv_token_bytes);
-      // Mbit/s * 1000 = bits per ms.
-      fetch_ms = kFetchSetupMs + bits / (request.service->link_mbps * 1000);
+      fetch_ms = FetchMs(*request.service, missing_tokens);
     }
   }
   const bool fetches = estimate.fetch_from != nullptr;
   estimate.uncached_tokens = std::max<int64_t>(
       0, prompt.prompt_tokens - (fetches ? shared_tokens : cached_tokens));
-  estimate.work.tokens =
-      std::max<int64_t>(0, state.uncached_tokens()) + estimate.uncached_tokens;
-  estimate.work.slowdown = 1 + kStepSlowdownPerRequest * state.open();
-  estimate.work.attention_ms = AttentionMs(estimate.uncached_tokens);
-  const double slots = std::max(1, state.entry.slots);
-  const double wait_ms = std::max(0.0, state.open() + 1 - slots) / slots *
-                         speed.answer_ms() * state.speed_factor;
-  estimate.waits_for_slot = wait_ms > 0;
-  estimate.predicted_ms =
-      (speed.TimeToFirstEvent(static_cast<double>(estimate.work.tokens)) +
-       estimate.work.attention_ms) *
-          estimate.work.slowdown * state.speed_factor +
-      wait_ms + fetch_ms;
+  estimate.work = WorkOf(state, estimate.uncached_tokens);
+  estimate.slot_wait_ms = SlotWaitMs(speed, state);
+  estimate.predicted_ms = estimate.slot_wait_ms + fetch_ms +
+                          PredictedMs(speed, state, estimate.work);
   estimate.cost_ms =
       std::max(estimate.predicted_ms,
                kCertainFraction *
                    static_cast<double>(request.first_event_target.count())) +
       (fetches ? kFetchCostMsPerKTokens : kPrefillAgainCostMsPerKTokens) *
           static_cast<double>(missing_tokens) / 1000;
-  if (estimate.uncached_tokens > kLongPrefillTokens) {
-    estimate.cost_ms += kStreamDelayMs * state.open();
-  }
+  estimate.cost_ms += LateStreamCostMs(request, speed, state, estimate.work,
+                                       estimate.uncached_tokens);
   return estimate;
 }
 
@@ -271,7 +332,9 @@
       request.prompt != nullptr ? FindPreferred(now, request, usable) : nullptr;
   const ServiceSpeed& speed = registry_->SpeedOf(request.service->name);
   const double max_jitter =
-      request.prompt != nullptr ? kMaxEngineJitterMs : kMaxJitterMs;
+      request.prompt != nullptr && request.service->has_engines
+          ? kMaxEngineJitterMs
+          : kMaxJitterMs;
   const EndpointState* chosen = nullptr;
   Estimate chosen_estimate;
   double min_cost = std::numeric_limits<double>::infinity();
@@ -308,7 +371,7 @@
   if (chosen_estimate.fetch_from != nullptr) {
     choice.fetch_from = chosen_estimate.fetch_from->entry.address;
   } else if (request.prompt != nullptr && request.service->has_engines &&
-             !chosen_estimate.waits_for_slot) {
+             chosen_estimate.slot_wait_ms == 0) {
     choice.work = chosen_estimate.work;
   }
   return choice;
--- a/tests/coordination/long_prompts_test.cpp
+++ b/tests/coordination/long_prompts_test.cpp
@@ -40,21 +40,25 @@
   bool measures = true;
 };
 
-Workload FastPrefill(double requests_per_second, bool measures = true) {
+Workload FastPrefill(double requests_per_second,
+                     double long_ratio = 0.15,
+                     bool measures = true) {
   return {"fast prefill",
           {3.27, 0.0823, 125, 62, 2048, 16, 10, 400000, 1},
-          {{0.15, 12000, 5400, 1.4, 600, 300},
-           {0.55, 800, 400, 0.6, 300, 300},
+          {{long_ratio, 12000, 5400, 1.4, 600, 300},
+           {0.7 - long_ratio, 800, 400, 0.6, 300, 300},
            {0.3, 2400, 1200, 0.6, 400, 300}},
           requests_per_second,
           measures};
 }
 
-Workload SlowPrefill(double requests_per_second, bool measures = true) {
+Workload SlowPrefill(double requests_per_second,
+                     double long_ratio = 0.15,
+                     bool measures = true) {
   return {"slow prefill",
           {3.09, 0.102, 56.9, 13, 2048, 12, 10, 400000, 1},
-          {{0.15, 12000, 5400, 1.4, 1500, 600},
-           {0.55, 800, 400, 0.6, 400, 600},
+          {{long_ratio, 12000, 5400, 1.4, 1500, 600},
+           {0.7 - long_ratio, 800, 400, 0.6, 400, 600},
            {0.3, 2400, 1200, 0.6, 500, 600}},
           requests_per_second,
           measures};
@@ -251,22 +255,31 @@
     instance.prefix_index.OnPromptSent(At(), hashes, choice->incarnation_hash);
     auto sample = std::make_shared<Sample>();
     sample->kind = kind_index;
-    sample->tokens = tokens;
+    sample->tokens = prompt.prompt_tokens;
     sample->sent_at = now_;
     samples_.push_back(sample);
+    BatchEngine::Call call =
+        MakeCall(kind, prompt, sample, ticket, &instance.registry);
+    call.fetches = !choice->fetch_from.empty();
+    engines_[std::stoul(choice->id.substr(1))]->Start(now_, std::move(call));
+  }
+
+  BatchEngine::Call MakeCall(const Kind& kind,
+                             const PromptShape& prompt,
+                             const std::shared_ptr<Sample>& sample,
+                             const std::shared_ptr<EndpointTicket>& ticket,
+                             EndpointRegistry* registry) {
+    std::lognormal_distribution<double> output(5, 0.7);
     BatchEngine::Call call;
-    call.session = session;
-    call.shared_tokens = shared;
-    call.prompt_tokens = tokens;
+    call.session = prompt.parts[0].id;
+    call.shared_tokens = prompt.parts[0].tokens;
+    call.prompt_tokens = prompt.prompt_tokens;
     call.output_tokens =
-        1 + static_cast<int64_t>(std::min(
-                600.0, std::lognormal_distribution<double>(5, 0.7)(random_)));
-    call.fetches = !choice->fetch_from.empty();
-    call.on_event = [sample, ticket, &instance, kind](double at) {
+        1 + static_cast<int64_t>(std::min(600.0, output(random_)));
+    call.on_event = [sample, ticket, registry, kind](double at) {
       if (sample->first_event < 0) {
         sample->first_event = at - sample->sent_at;
-        instance.registry.OnFirstByte(Millis(static_cast<int64_t>(at)),
-                                      ticket.get());
+        registry->OnFirstByte(Millis(static_cast<int64_t>(at)), ticket.get());
       } else {
         const double gap = at - sample->last_event_at;
         sample->longest_gap = std::max(sample->longest_gap, gap);
@@ -274,11 +287,11 @@
       }
       sample->last_event_at = at;
     };
-    call.on_end = [ticket, &instance](double at) {
-      instance.registry.OnEnded(Millis(static_cast<int64_t>(at)), ticket.get(),
-                                EndpointOutcome::kAnswered);
+    call.on_end = [ticket, registry](double at) {
+      registry->OnEnded(Millis(static_cast<int64_t>(at)), ticket.get(),
+                        EndpointOutcome::kAnswered);
     };
-    engines_[std::stoul(choice->id.substr(1))]->Start(now_, std::move(call));
+    return call;
   }
 
   static void SetTargets(const Kind& kind, Placement::Request* request) {
@@ -311,9 +324,15 @@
               sum.p50, sum.p99, sum.late_gaps, sum.within);
 }
 
-//! Runs the model with several seeds and prints the figures.
-//! Returns the mean fraction of requests within their targets.
-double Compare(const Workload& workload, uint64_t seeds) {
+//! Fractions of requests within their targets.
+struct Within {
+  double all = 0;
+  double largest = 0;  //!< Of the largest tenth.
+};
+
+//! Runs the model with several seeds and prints the figures. Returns the mean
+//! of the seeds.
+Within Compare(const Workload& workload, uint64_t seeds) {
   std::vector<std::vector<Figures>> rows(7);
   for (uint64_t seed = 1; seed <= seeds; ++seed) {
     LongPromptModel model(workload, seed);
@@ -333,8 +352,8 @@
     rows[6].push_back(
         model.Count([&](const Sample& it) { return it.tokens < fifth; }));
   }
-  std::printf("%s, %.0f requests a second%s\n", workload.name,
-              workload.requests_per_second,
+  std::printf("%s, %.0f requests a second, %.2f long%s\n", workload.name,
+              workload.requests_per_second, workload.kinds[0].ratio,
               workload.measures ? "" : ", speeds not measured");
   const std::vector<const char*> names = {
       "all",           "long",        "short",   "medium",
@@ -342,9 +361,10 @@
   for (size_t i = 0; i < rows.size(); ++i) {
     PrintFigures(names[i], rows[i]);
   }
-  double within = 0;
-  for (const Figures& it : rows[0]) {
-    within += it.within / static_cast<double>(seeds);
+  Within within;
+  for (size_t seed = 0; seed < seeds; ++seed) {
+    within.all += rows[0][seed].within / static_cast<double>(seeds);
+    within.largest += rows[4][seed].within / static_cast<double>(seeds);
   }
   return within;
 }
@@ -352,19 +372,29 @@
 // With measured speeds alone, all instances sent the sessions of slower engines
 // to the one that appeared to be the fastest: 0.55 and 0.74 within target.
 TEST(LongPromptsTest, BothKindsMeetTheirTargetsNearTheCapacity) {
-  EXPECT_GT(Compare(FastPrefill(450), 1), 0.98);
-  EXPECT_GT(Compare(SlowPrefill(240), 1), 0.98);
+  EXPECT_GT(Compare(FastPrefill(450), 1).all, 0.98);
+  EXPECT_GT(Compare(SlowPrefill(240), 1).all, 0.98);
+}
+
+// Long prompts went to engines without regard to their pauses, and prompts just
+// below the constant that was "long" were not avoided: 0.942 of the largest.
+TEST(LongPromptsTest, LargestPromptsMeetTheirTargetsIfThereAreMany) {
+  const Within within = Compare(FastPrefill(400, 0.3), 3);
+  EXPECT_GT(within.largest, 0.97);
+  EXPECT_GT(within.all, 0.975);
 }
 
-// Prints the table of docs/design/long-prompts.md; takes half a minute.
+// Prints the table of docs/design/long-prompts.md; takes a minute.
 TEST(LongPromptsTest, DISABLED_Table) {
   for (const bool measures : {false, true}) {
     for (const double requests_per_second : {250, 350, 450}) {
-      Compare(FastPrefill(requests_per_second, measures), 3);
+      Compare(FastPrefill(requests_per_second, 0.15, measures), 3);
     }
     for (const double requests_per_second : {140, 200, 240}) {
-      Compare(SlowPrefill(requests_per_second, measures), 3);
+      Compare(SlowPrefill(requests_per_second, 0.15, measures), 3);
     }
+    Compare(FastPrefill(400, 0.3, measures), 3);
+    Compare(SlowPrefill(200, 0.3, measures), 3);
   }
 }
 
