--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -37,22 +37,6 @@
 constexpr double kHighBudgetThreshold = 0.6;
 constexpr double kLowBudgetThreshold = 0.25;
 
-//! Each power loss strands what an instance holds, so an account that shows
-//! stranded tokens holds less in advance. With `u`, the unstranded part of what
-//! is not spent, its share is multiplied by u, and the deviations of
-//! kCoverDeviations by u to the power of this. The deviations are reduced most:
-//! instances lend each other tokens and together need none. In trials, a share
-//! multiplied by u to the power of 1.5 stranded a little less by five losses,
-//! but refused 15 % of the requests in a disconnection after a single one.
-constexpr double kStrandedDeviationsExponent = 8;
-//! From this stranded part of what is not spent, kCoverSeconds refers to what
-//! requests spend instead of what they reserve: the rest of a reservation comes
-//! back within the time of a disconnection. Interpolated linearly below.
-constexpr double kStrandedFractionForSpentDemand = 0.1;
-//! Lower limit of the spent part of reservations in this: failed requests spend
-//! nothing and say little about later ones.
-constexpr double kMinSpentPart = 0.5;
-
 //! Fraction of the remaining budget that all instances together hold without
 //! demand, so that the first requests of an organisation need not wait for the
 //! log.
@@ -610,28 +594,6 @@
              account.spent - account.stranded() - account.others_stranded));
 }
 
-double BudgetShares::UnstrandedFraction(const Account& account) const {
-  const double remaining = RemainingBudget(account);
-  const auto stranded =
-      static_cast<double>(account.stranded() + account.others_stranded);
-  return stranded > 0 ? remaining / (remaining + stranded) : 1;
-}
-
-double BudgetShares::AdvanceDemand(Millis now, const Account& account) const {
-  const double unstranded = UnstrandedFraction(account);
-  const double settled =
-      account.total_reserved - static_cast<double>(account.reserved);
-  const double spent_part =
-      settled > 0 ? std::clamp(static_cast<double>(account.spent) / settled,
-                               kMinSpentPart, 1.0)
-                  : 1;
-  const double weight =
-      std::min(1.0, (1 - unstranded) / kStrandedFractionForSpentDemand);
-  return DemandWithMargin(
-      now, account, kCoverSeconds * (1 - weight * (1 - spent_part)),
-      kCoverDeviations * std::pow(unstranded, kStrandedDeviationsExponent));
-}
-
 double BudgetShares::MinReturn(const Account& account) const {
   if (draining_) {
     return 0;
@@ -654,7 +616,8 @@
       (total_spent + uniform_prior * static_cast<double>(instances_));
   double wanted = draining_
                       ? DemandWithMargin(now, account, kDrainCoverSeconds, 0)
-                      : std::max(AdvanceDemand(now, account),
+                      : std::max(DemandWithMargin(now, account, kCoverSeconds,
+                                                  kCoverDeviations),
                                  remaining * kIdleFraction / instances_);
   // 0 at or below the low threshold, 1 at or above the high one.
   const double budget_level =
@@ -665,9 +628,6 @@
       wanted, fair_share * (kMaxFairFractionAtLowBudget +
                             budget_level * (kMaxFairFractionAtHighBudget -
                                             kMaxFairFractionAtLowBudget)));
-  if (!draining_) {
-    wanted *= UnstrandedFraction(account);
-  }
   if (wanted < account.typical_size) {
     // Not enough for one request: the remaining budget is claimed request by
     // request.
--- a/src/coordination/budget_shares.h
+++ b/src/coordination/budget_shares.h
@@ -251,12 +251,6 @@
                           double deviations) const;
   //! The budget without what is known to be spent or stranded, in tokens.
   double RemainingBudget(const Account& account) const;
-  //! The part of the tokens not known to be spent that isn't stranded; 1
-  //! without stranded tokens.
-  double UnstrandedFraction(const Account& account) const;
-  //! Expected demand that a share covers without the log, in tokens, before the
-  //! limits of the budget.
-  double AdvanceDemand(Millis now, const Account& account) const;
   //! Unused tokens that the share should hold.
   int64_t ShareTarget(Millis now, const Account& account) const;
   //! Unused tokens that the next lock should allow to spend.
