Give up the unused share when a removed budget comes back

A configuration may remove an organisation's budget and a later one bring back a lower one. SetBudgets compared the new total with the current one, which there was none of, so an instance kept the share that was granted under the old total and could spend beyond the new one.

Change: a budget that comes back counts as lowered. The share is claimed again within the new total.

Measured: GivesUpUnspentTokensWhenABudgetComesBack fails without the change (501 of 500 tokens granted) and passes with it.

--- a/src/coordination/budget_shares.cpp
+++ b/src/coordination/budget_shares.cpp
@@ -115,8 +115,9 @@
 void BudgetShares::SetBudgets(const std::vector<Organisation>& organisations) {
   for (const Organisation& it : organisations) {
     Account& account = accounts_[it.name];
+    // A share from before a budget was removed may exceed the new one.
     const bool lowered =
-        it.prepaid && account.prepaid && *it.prepaid < *account.prepaid;
+        it.prepaid && (!account.prepaid || *it.prepaid < *account.prepaid);
     account.prepaid = it.prepaid;
     if (lowered) {
       account.granted = account.in_use();
--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -231,6 +231,20 @@
   EXPECT_TRUE(holder.shares().IsExhausted(Millis(1004), kName, 501));
 }
 
+// Guards against spending beyond a budget that was removed and comes back
+// lower.
+TEST(BudgetSharesTest, GivesUpUnspentTokensWhenABudgetComesBack) {
+  FakeBudgetTopic topic;
+  BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(1000000));
+  holder.shares().Reserve(Millis(1000), kName, 10000);
+  holder.AppendAndRead(Millis(1001));
+  holder.shares().SetBudgets(Unlimited());
+  holder.shares().SetBudgets(Prepaid(500));
+  EXPECT_EQ(holder.shares().Reserve(Millis(1002), kName, 501),
+            BudgetShares::Verdict::kInsufficient);
+}
+
 TEST(BudgetSharesTest, ReturnsAllUnusedTokens) {
   FakeBudgetTopic topic;
   BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
