--- a/tests/platform/endpoint_leaving_test.cpp
+++ b/tests/platform/endpoint_leaving_test.cpp
@@ -1,4 +1,5 @@
 #include <gtest/gtest.h>
+#include <signal.h>
 #include <unistd.h>
 
 #include <filesystem>
@@ -312,43 +313,92 @@
   EXPECT_FALSE(parse({"1", "1"}).ok());
 }
 
-// Guards against instances that each have to find out by a request of their
-// own. The directory never says that the endpoint drains.
-TEST(LeavingReportTest, OtherInstancesLearnItFromReports) {
-  EventLoop loop;
-  StandInStore store(&loop);
-  StandInEndpoint endpoint(&loop, "e");
-  const std::string folder =
-      absl::StrCat(testing::TempDir(), "/endpoint-leaving-", getpid());
-  std::filesystem::create_directories(folder);
-  store.Put(platform::kOperatorTopic, platform::kConfigKey,
-            SampleConfig(1, 100000000));
-  store.Put(platform::kEndpointTopic, endpoint.id(),
-            endpoint.DirectoryEntry("app", 2, false));
-  endpoint.behaviour().leaving = {"1"};
-  std::vector<std::unique_ptr<InstanceProcess>> instances;
-  for (int i = 0; i < 2; ++i) {
-    instances.push_back(std::make_unique<InstanceProcess>(
-        &loop, PROGRAM, folder, absl::StrCat("node-", i), store.address()));
-    instances.back()->Start();
+//! Two instances in processes of their own. The directory never says that the
+//! only endpoint drains.
+class LeavingReportTest : public testing::Test {
+ protected:
+  LeavingReportTest()
+      : store_(&loop_),
+        endpoint_(&loop_, "e"),
+        folder_(
+            absl::StrCat(testing::TempDir(), "/endpoint-leaving-", getpid())) {
+    std::filesystem::create_directories(folder_);
+    store_.Put(platform::kOperatorTopic, platform::kConfigKey,
+               SampleConfig(1, 100000000));
+    store_.Put(platform::kEndpointTopic, endpoint_.id(),
+               endpoint_.DirectoryEntry("app", 2, false));
+    endpoint_.behaviour().leaving = {"1"};
+    for (int i = 0; i < 2; ++i) {
+      instances_.push_back(std::make_unique<InstanceProcess>(
+          &loop_, PROGRAM, folder_, absl::StrCat("node-", i),
+          store_.address()));
+      instances_.back()->Start();
+    }
   }
-  std::vector<std::unique_ptr<Caller>> callers;
-  const auto send = [&](size_t instance) {
-    callers.push_back(std::make_unique<Caller>(
-        &loop, instances[instance]->callers_address(),
-        SampleRequest("safe", absl::StrCat("id-", instance))));
-  };
-  // The instances list each other within 3 s.
-  loop.After(Millis(4500), [&] { send(0); });
-  loop.After(Millis(5500), [&] { send(1); });
-  loop.After(Millis(6000), [&] { loop.Quit(); });
-  loop.Run();
-  EXPECT_EQ(callers[0]->status(), 200);
-  EXPECT_EQ(callers[1]->status(), 503);
-  EXPECT_EQ(endpoint.arrivals().size(), 1U);
-  callers.clear();
-  instances.clear();
-  std::filesystem::remove_all(folder);
+  ~LeavingReportTest() override {
+    callers_.clear();
+    instances_.clear();
+    std::filesystem::remove_all(folder_);
+  }
+
+  //! Calls `action` after this time of the run.
+  void At(int ms, const std::function<void()>& action) {
+    loop_.After(Millis(ms), action);
+  }
+
+  void Send(size_t instance) {
+    callers_.push_back(std::make_unique<Caller>(
+        &loop_, instances_[instance]->callers_address(),
+        SampleRequest("safe", absl::StrCat("id-", callers_.size()))));
+  }
+
+  //! The instances list each other within this time, in ms.
+  static constexpr int kListTime = 4500;
+
+  EventLoop loop_;
+  StandInStore store_;
+  StandInEndpoint endpoint_;
+  std::string folder_;
+  std::vector<std::unique_ptr<InstanceProcess>> instances_;
+  std::vector<std::unique_ptr<Caller>> callers_;
+};
+
+// Guards against instances that each have to find out by a request of their
+// own.
+TEST_F(LeavingReportTest, OtherInstancesLearnItFromReports) {
+  At(kListTime, [&] { Send(0); });
+  At(kListTime + 1000, [&] { Send(1); });
+  At(kListTime + 1500, [&] { loop_.Quit(); });
+  loop_.Run();
+  EXPECT_EQ(callers_[0]->status(), 200);
+  EXPECT_EQ(callers_[1]->status(), 503);
+  EXPECT_EQ(endpoint_.arrivals().size(), 1U);
+}
+
+TEST_F(LeavingReportTest, FrozenAndKilledInstancesKnowItAfterwards) {
+  constexpr int kStopped = kListTime + 1000;
+  constexpr int kBack = kStopped + 1500;
+  constexpr int kAsked = kBack + kListTime;
+  At(kListTime, [&] { Send(0); });
+  At(kStopped, [&] {
+    instances_[0]->Signal(SIGSTOP);
+    instances_[1]->Signal(SIGKILL);
+  });
+  At(kBack, [&] {
+    instances_[0]->Signal(SIGCONT);
+    ASSERT_FALSE(instances_[1]->running());
+    instances_[1]->Start();
+  });
+  At(kAsked, [&] {
+    Send(0);
+    Send(1);
+  });
+  At(kAsked + 500, [&] { loop_.Quit(); });
+  loop_.Run();
+  EXPECT_EQ(callers_[0]->status(), 200);
+  EXPECT_EQ(callers_[1]->status(), 503);
+  EXPECT_EQ(callers_[2]->status(), 503);
+  EXPECT_EQ(endpoint_.arrivals().size(), 1U);
 }
 
 }  // namespace
