--- a/tests/coordination/budget_shares_test.cpp
+++ b/tests/coordination/budget_shares_test.cpp
@@ -282,8 +282,8 @@
   EXPECT_EQ(successor.shares().TotalClaimed("other"), 0);
 }
 
-// The same for an instance that is killed right after its first batch since the
-// store came back.
+// Guards against tokens that are granted twice when an instance is killed right
+// after its first batch since the store came back.
 TEST(BudgetSharesTest, PlanRecordsWhatWasUsedBeyondAnExpiredLock) {
   FakeBudgetTopic topic;
   BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
@@ -298,8 +298,8 @@
   EXPECT_GE(successor.shares().TotalClaimed(kName), lent);
 }
 
-// The same for an organisation whose budget is removed meanwhile: it may have
-// one again later.
+// Guards against tokens that are granted twice when a budget is removed, its
+// instance is restarted, and the budget comes back.
 TEST(BudgetSharesTest, PlanRecordsWhatWasUsedOfARemovedBudget) {
   FakeBudgetTopic topic;
   BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
@@ -315,6 +315,23 @@
   EXPECT_GE(successor.shares().TotalClaimed(kName), lent);
 }
 
+// The same when the log comes back from an older copy instead of a restart.
+TEST(BudgetSharesTest, RecordsClaimOfARemovedBudgetAgainAfterARestore) {
+  FakeBudgetTopic topic;
+  BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
+  holder.shares().SetBudgets(Prepaid(100000));
+  holder.shares().Reserve(Millis(1000), kName, 1000);
+  holder.AppendAndRead(Millis(1001));
+  ASSERT_EQ(holder.shares().Reserve(Millis(1002), kName, 1000),
+            BudgetShares::Verdict::kGranted);
+  holder.shares().SetBudgets(Unlimited());
+  topic.Restore(0);
+  holder.SeeRestore(Millis(2000));
+  holder.AppendAndRead(Millis(2001));
+  BudgetHolder other(&topic, "b", 2, Millis(2002), "boot");
+  EXPECT_GE(other.shares().TotalClaimed(kName), 1000);
+}
+
 TEST(BudgetSharesTest, ReturnsMostOfTheShareWhileDraining) {
   FakeBudgetTopic topic;
   BudgetHolder holder(&topic, "a", 1, Millis(1000), "boot");
--- a/tests/coordination/token_lending_test.cpp
+++ b/tests/coordination/token_lending_test.cpp
@@ -239,8 +239,7 @@
   struct Options {
     bool restores = false;  //!< The log comes back from older copies.
     bool drains = false;    //!< All that is left is spent at the end.
-    //! Instances stand still for a time, and some lose the log and the peers at
-    //! once.
+    //! Instances are frozen for a time, or lose the log and the peers at once.
     bool freezes_and_cuts = false;
     //! Organisations have no budget for a time. What they spend then does not
     //! count.
@@ -476,13 +475,14 @@
     }
   }
 
-  //! Returns whether the instance stands still.
-  bool IsFrozen(int i) {
+  //! Freezes an instance, or begins or ends a cut, sometimes. Returns whether
+  //! the instance is frozen.
+  bool FreezeOrCut(int i) {
     if (!freezes_and_cuts_) {
       return false;
     }
     if (now_ < frozen_until_[i]) {
-      // A stop or a kill ends the standstill.
+      // A frozen process may be killed.
       if (RandomBelow(200) == 0) {
         Crash(i);
       }
@@ -500,7 +500,7 @@
   }
 
   void RunStep(int i) {
-    if (IsFrozen(i)) {
+    if (FreezeOrCut(i)) {
       return;
     }
     BudgetHolder& holder = at(i).holder;
--- a/tests/platform/endpoint_leaving_test.cpp
+++ b/tests/platform/endpoint_leaving_test.cpp
@@ -222,8 +222,8 @@
   Run([&] {
     const auto copy = store_.MakeCopy();
     AwaitOver(Send(SampleRequest("safe", "id-1")), [&, copy] {
-      store_.Put(platform::kEndpointTopic, "a", "");
       store_.Restore(*copy, false);
+      PutEndpoint(a_, "app", 9, false);
       loop_.After(Millis(1500), [&] {
         later = Send(SampleRequest("safe", "id-2"));
         AwaitOver(later, [] { Stop(); });
@@ -244,8 +244,8 @@
   return out << it.name;
 }
 
-//! Kinds of answers that are passed on to the caller.
-constexpr AnswerCase kPassedOn[] = {
+//! Kinds of answers that are forwarded to the caller.
+constexpr AnswerCase kForwardedAnswers[] = {
     {"WithoutId", "safe",
      "HTTP/1.1 200 OK\r\nX-Server-Signature: s\r\nServer-Leaving: 1\r\n"
      "Content-Length: 2\r\n\r\nok"},
@@ -271,12 +271,12 @@
      "id: 1\ndata: x\n\nid: 2\nda"},
 };
 
-class PassedOnNoticeTest : public EndpointLeavingTest,
-                           public testing::WithParamInterface<AnswerCase> {};
+class ForwardedNoticeTest : public EndpointLeavingTest,
+                            public testing::WithParamInterface<AnswerCase> {};
 
 // Guards against notices that callers see but the instance ignores, since the
 // answer is of another kind.
-TEST_P(PassedOnNoticeTest, NextRequestIsNotSent) {
+TEST_P(ForwardedNoticeTest, NextRequestIsNotSent) {
   const std::string route = GetParam().route;
   ScriptedEndpoint endpoint(&loop_, {{GetParam().bytes}});
   store_.Put(platform::kEndpointTopic, "a",
@@ -289,8 +289,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Answers,
-                         PassedOnNoticeTest,
-                         testing::ValuesIn(kPassedOn),
+                         ForwardedNoticeTest,
+                         testing::ValuesIn(kForwardedAnswers),
                          [](const auto& info) {
                            return std::string(info.param.name);
                          });
