--- a/tests/platform/endpoint_wait_test.cpp
+++ b/tests/platform/endpoint_wait_test.cpp
@@ -9,6 +9,7 @@
 #include "platform/wire_names.h"
 #include "support/caller.h"
 #include "support/sample_config.h"
+#include "support/scripted_endpoint.h"
 #include "support/stand_in_endpoint.h"
 
 namespace tamaracktrail {
@@ -114,6 +115,25 @@
   EXPECT_GE(Answers(500), static_cast<int>(callers_.size()) - 3);
 }
 
+TEST_F(AllEndpointsWaitTest, TimeInARefusalWithoutIdIsKept) {
+  ScriptedEndpoint endpoint(
+      &loop_, {{"HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n"
+                "Retry-After: 2.5\r\nContent-Length: 0\r\n\r\n"}});
+  store_.Put(platform::kEndpointTopic, "a",
+             a_.DirectoryEntry("app", 2, false, endpoint.address()));
+  store_.Put(platform::kEndpointTopic, "b", "");
+  Run([&] {
+    AwaitOver(Send(SampleRequest("safe", "id-1")), [&] {
+      for (int i = 0; i < 10; ++i) {
+        Send(SampleRequest("safe", absl::StrCat("later-", i)));
+      }
+      AwaitOver(callers_.back().get(), [] { Stop(); });
+    });
+  });
+  EXPECT_EQ(callers_.back()->status(), 503);
+  EXPECT_EQ(endpoint.requests(), 1U);
+}
+
 TEST_F(AllEndpointsWaitTest, UnreadableTimeChangesNothing) {
   a_.behaviour().refuse = true;
   a_.behaviour().retry_after = {"2.5", "2.5"};
