--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -23,6 +23,12 @@
   });
 }
 
+//! Codes outside of 100 to 599 are invalid (RFC 9110, 15). 101 is the answer to
+//! an Upgrade, a field that no request here has; what follows it isn't HTTP.
+bool IsValidStatus(int code) {
+  return code >= 100 && code <= 599 && code != 101;
+}
+
 //! Size of the shortest last chunk, "0\r\n\r\n". At the start of a chunk, every
 //! complete message goes on with at least this many bytes.
 constexpr size_t kMinChunkBytes = 5;
@@ -127,8 +133,8 @@
   }
 
  private:
-  static absl::Status Describe(const error_code& ec) {
-    const std::string text = absl::StrCat("HTTP: ", ec.message());
+  absl::Status Describe(const error_code& ec) const {
+    const std::string text = absl::StrCat("HTTP: ", ec.message(), detail_);
     if (ec == http::error::header_limit) {
       return absl::ResourceExhaustedError(text);
     }
@@ -158,7 +164,12 @@
   void on_response_impl(int code,
                         string_view reason_text,
                         int http_version,
-                        error_code&) override {
+                        error_code& ec) override {
+    if (!IsValidStatus(code)) {
+      detail_ = absl::StrCat(" ", code);
+      ec = http::error::bad_status;
+      return;
+    }
     status = code;
     reason = View(reason_text);
     version = http_version;
@@ -220,6 +231,7 @@
   void on_finish_impl(error_code&) override {}
 
   size_t max_header_bytes_;
+  std::string detail_;             //!< Of an error, as a suffix of its message.
   uint64_t chunk_bytes_left_ = 0;  //!< Of the chunk that is being read.
 };
 
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -16,7 +16,8 @@
 //! Incremental parser of one HTTP/1.1 message.
 //!
 //! Parses with Boost.Beast and also rejects framing that two parsers could
-//! interpret differently (request smuggling). Not thread-safe.
+//! interpret differently (request smuggling), and status codes that no answer
+//! to a request without Upgrade has. Not thread-safe.
 class HttpReader {
  public:
   enum class Kind { kRequest, kResponse };
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -23,6 +23,7 @@
   HttpReply reply;
   bool sent = false;
   bool timed_out = false;
+  bool protocol_switched = false;
   HttpClient::Done done;
 
   ~Exchange() {
@@ -45,7 +46,19 @@
   static_cast<Exchange*>(data)->sent = true;
 }
 
+void OnInformational(SoupMessage* message, gpointer data) {
+  auto* exchange = static_cast<Exchange*>(data);
+  if (soup_message_get_status(message) == SOUP_STATUS_SWITCHING_PROTOCOLS) {
+    // No request here asks for another protocol.
+    exchange->protocol_switched = true;
+    g_cancellable_cancel(exchange->cancellable);
+  }
+}
+
 absl::Status ToStatus(const Exchange& exchange, const GError& ec) {
+  if (exchange.protocol_switched) {
+    return absl::UnknownError("the peer switched to another protocol");
+  }
   if (exchange.timed_out) {
     return absl::DeadlineExceededError("timed out");
   }
@@ -155,6 +168,8 @@
   g_source_attach(exchange->timer, g_main_context_get_thread_default());
   soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
   g_signal_connect(message, "starting", G_CALLBACK(OnStarting), exchange);
+  g_signal_connect(message, "got-informational", G_CALLBACK(OnInformational),
+                   exchange);
   SoupMessageHeaders* headers = soup_message_get_request_headers(message);
   for (const auto& [name, value] : request.headers) {
     soup_message_headers_replace(headers, name.c_str(), value.c_str());
--- a/src/transport/internal/upstream_call.cpp
+++ b/src/transport/internal/upstream_call.cpp
@@ -300,6 +300,16 @@
                      static_cast<State*>(data)->sent = true;
                    }),
                    state_.get());
+  g_signal_connect(
+      message, "got-informational",
+      G_CALLBACK(+[](SoupMessage* it, gpointer data) {
+        if (soup_message_get_status(it) == SOUP_STATUS_SWITCHING_PROTOCOLS) {
+          // No call asks for another protocol. The cancelled call
+          // counts as a lost connection.
+          g_cancellable_cancel(static_cast<State*>(data)->cancellable);
+        }
+      }),
+      state_.get());
   state_->timer =
       g_timeout_source_new(static_cast<guint>(request.connect_timeout.count()));
   const GSourceFunc on_timeout = [](gpointer data) -> gboolean {
--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -6,9 +6,11 @@
 #include <cereal/types/vector.hpp>
 #include <sstream>
 
+#include "absl/strings/str_cat.h"
 #include "state/bounded_input_archive.h"
 #include "transport/event_loop.h"
 #include "transport/log_line.h"
+#include "transport/metrics.h"
 #include "transport/relay/caller_request.h"
 #include "transport/relay/fixed_answer_task.h"
 #include "transport/relay/http_fetch.h"
@@ -53,6 +55,26 @@
   return records;
 }
 
+//! A peer that has no records answers 404.
+absl::StatusOr<PeerExchange::Records> ReadRecords(
+    const absl::StatusOr<HttpFetch::Answer>& answer) {
+  if (!answer.ok()) {
+    return answer.status();
+  }
+  if (answer->status == 404) {
+    return PeerExchange::Records();
+  }
+  if (answer->status != 200) {
+    return absl::UnavailableError(
+        absl::StrCat("the peer answered ", answer->status));
+  }
+  try {
+    return Decode(answer->body);
+  } catch (const std::exception&) {
+    return absl::DataLossError("the records cannot be decoded");
+  }
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(EventLoop* loop,
@@ -63,6 +85,7 @@
                            ConnectionMemory* memory)
     : loop_(loop),
       log_(log),
+      metrics_(metrics),
       hooks_(std::move(hooks)),
       pool_(loop, [](uint64_t) {}),
       server_(std::make_unique<RelayServer>(
@@ -116,20 +139,16 @@
        apply](absl::StatusOr<HttpFetch::Answer> answer) {
         // Keeps the fetch alive until its own callback has returned.
         const auto done = std::move(*fetch);
-        Records records;
-        if (answer.ok() && answer->status == 200) {
-          try {
-            records = Decode(answer->body);
-          } catch (const std::exception&) {
-            records.clear();
-          }
-        }
-        LogLine(log_, "peer_asked")
-            .Add("peer", peer)
+        const absl::StatusOr<Records> records = ReadRecords(answer);
+        LogLine line(log_, "peer_asked");
+        line.Add("peer", peer)
             .Add("what", path)
-            .Add("records", records.size());
-        if (!records.empty()) {
-          apply(records);
+            .Add("records", records.ok() ? records->size() : 0);
+        if (!records.ok()) {
+          metrics_->Count("peer_fetches_failed_total");
+          line.AddQuoted("reason", std::string(records.status().message()));
+        } else if (!records->empty()) {
+          apply(*records);
         }
       });
 }
--- a/src/transport/peer_exchange.h
+++ b/src/transport/peer_exchange.h
@@ -40,7 +40,8 @@
     std::function<void(const Records&)> on_evacuations;
   };
 
-  //! Takes ownership of the listening descriptor `fd`. `memory`: see
+  //! Takes ownership of the listening descriptor `fd`. Precondition: loop, log
+  //! and metrics outlive the exchange. `memory`: see
   //! RelayServer.
   PeerExchange(EventLoop* loop,
                EventLog* log,
@@ -69,6 +70,7 @@
 
   EventLoop* loop_;
   EventLog* log_;
+  Metrics* metrics_;
   Hooks hooks_;
   ConnectionPool pool_;
   std::unique_ptr<RelayServer> server_;
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -367,6 +367,11 @@
   if (sent && !cleared_of_crashes_) {
     CheckForCrash();
   }
+  if (sent) {
+    context_->metrics->Count(
+        absl::StrCat("broken_answers_total{error=\"",
+                     absl::StatusCodeToString(status.code()), "\"}"));
+  }
   FinishAttempt(sent ? AttemptOutcome::kBroken : AttemptOutcome::kNotSent,
                 std::string(status.message()));
 }
--- a/tests/platform/answer_end_test.cpp
+++ b/tests/platform/answer_end_test.cpp
@@ -351,11 +351,7 @@
     // The answers have been given; there is nobody to wait for.
     settings_.grace_period = Millis(1000);
     const bool streams = request.find("X-Model") != std::string::npos;
-    for (StandInEndpoint* it : {&a_, &b_}) {
-      store_.Put(platform::kEndpointTopic, it->id(),
-                 it->DirectoryEntry(streams ? "llm" : "app", 2, false,
-                                    endpoint_->address()));
-    }
+    ListEndpointsAt(endpoint_->address(), streams ? "llm" : "app");
   }
 
   static Seen SeenBy(Caller* caller) {
--- a/tests/platform/front_fixture.h
+++ b/tests/platform/front_fixture.h
@@ -62,6 +62,14 @@
                endpoint.DirectoryEntry(service, sequence, draining));
   }
 
+  //! Lists both endpoints of `service` at `address`.
+  void ListEndpointsAt(const std::string& address, const std::string& service) {
+    for (StandInEndpoint* it : {&a_, &b_}) {
+      store_.Put(platform::kEndpointTopic, it->id(),
+                 it->DirectoryEntry(service, 2, false, address));
+    }
+  }
+
   void UseAsEngines() {
     for (StandInEndpoint* it : {&a_, &b_}) {
       PutEndpoint(*it, "llm", 2, false);
--- a/tests/transport/endless_message_test.cpp
+++ b/tests/transport/endless_message_test.cpp
@@ -3,16 +3,11 @@
 
 #include <gtest/gtest.h>
 
-#include <glib.h>
-
-#include <atomic>
 #include <functional>
-#include <future>
 #include <memory>
 #include <optional>
 #include <ostream>
 #include <string>
-#include <thread>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -20,9 +15,10 @@
 #include "coordination/endpoint_spec.h"
 #include "coordination/upstream_event.h"
 #include "protocol/http_reader.h"
+#include "support/client_context.h"
 #include "support/loopback.h"
 #include "support/raw_endpoint.h"
-#include "transport/clock.h"
+#include "support/server_thread.h"
 #include "transport/endpoint_prober.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
@@ -127,72 +123,6 @@
   EXPECT_LT(server.sent(), kMaxAcceptedBytes);
 }
 
-//! Makes a new context the thread's default one. On GLib's own default context,
-//! calls that other tests have left open would end here.
-class ClientContext {
- public:
-  ClientContext() { g_main_context_push_thread_default(context_); }
-  ~ClientContext() {
-    g_main_context_pop_thread_default(context_);
-    g_main_context_unref(context_);
-  }
-
-  //! Handles events until `done` holds or `time` has passed.
-  template <class Done>
-  void RunUntil(Done done, Millis time) {
-    const Millis end = MonotonicNow() + time;
-    while (!done() && MonotonicNow() < end) {
-      if (!g_main_context_iteration(context_, FALSE)) {
-        g_usleep(1000);
-      }
-    }
-  }
-
- private:
-  GMainContext* context_ = g_main_context_new();
-};
-
-//! A RawEndpoint in a thread of its own, for clients that use GLib's contexts.
-class ServerThread {
- public:
-  ServerThread(const std::string& bytes, const std::string& filler)
-      : thread_([this, bytes, filler] { Run(bytes, filler); }) {}
-  ~ServerThread() { Stop(); }
-
-  std::string address() { return address_.get_future().get(); }
-
-  //! Ends the server and returns how many bytes it has sent.
-  size_t Stop() {
-    done_ = true;
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-    return sent_;
-  }
-
- private:
-  void Run(const std::string& bytes, const std::string& filler) {
-    EventLoop loop;
-    RawEndpoint endpoint(&loop, bytes, filler);
-    address_.set_value(endpoint.address());
-    const std::function<void()> check = [&] {
-      if (done_) {
-        loop.Quit();
-      } else {
-        loop.After(Millis(5), check);
-      }
-    };
-    check();
-    loop.Run();
-    sent_ = endpoint.sent();
-  }
-
-  std::promise<std::string> address_;
-  std::atomic<bool> done_ = false;
-  size_t sent_ = 0;
-  std::thread thread_;
-};
-
 //! Answers of endpoints' health checks and of the log are fetched in this way.
 TEST_P(EndlessAnswerTest, HttpClientGivesUp) {
   ServerThread server(MakeBytes("HTTP/1.1 200 OK", GetParam()),
