--- a/tests/platform/broken_head_test.cpp
+++ b/tests/platform/broken_head_test.cpp
@@ -132,6 +132,67 @@
   return heads;
 }
 
+//! A proper answer but for one line of its head.
+std::string AnswerWithField(const std::string& line) {
+  return absl::StrCat("HTTP/1.1 200 OK\r\n", kOwnFields, line,
+                      "\r\nContent-Length: 4\r\n\r\nbody");
+}
+
+std::vector<BrokenHead> BrokenFields() {
+  std::vector<BrokenHead> heads;
+  const auto add = [&](const char* name, const std::string& line,
+                       bool is_typical = false) {
+    heads.push_back({name, AnswerWithField(line), is_typical});
+  };
+  add("BlankInName", "X Field: x", true);
+  add("BlankBeforeColon", "X-Field : x");
+  add("TabBeforeColon", "X-Field\t: x");
+  add("TabInName", "X\tField: x");
+  add("NulInName", absl::StrCat("X", std::string(1, '\0'), "Field: x"));
+  add("ControlByteInName",
+      "X\x01"
+      "Field: x",
+      true);
+  add("EscapeInName",
+      "X\x1b"
+      "Field: x");
+  add("DeleteInName",
+      "X\x7f"
+      "Field: x");
+  add("CarriageReturnInName", "X\rField: x");
+  add("HighByteInName",
+      "X\xe9"
+      "Field: x");
+  add("ParenthesisInName", "X(Field: x");
+  add("CommaInName", "X,Field: x");
+  add("SlashInName", "X/Field: x");
+  add("AtSignInName", "X@Field: x");
+  add("BracketInName", "X[Field: x");
+  add("QuoteInName", "X\"Field: x");
+  add("EmptyName", ": x");
+  add("NoColon", "X-Field");
+  add("ControlByteInValue", "X-Field: \x01");
+  add("NulInValue", absl::StrCat("X-Field: ", std::string(1, '\0')));
+  add("DeleteInValue", "X-Field: \x7f");
+  add("CarriageReturnInValue", "X-Field: a\rb");
+  // Without that line, the answer would have another body.
+  add("BlankAfterContentLength", "Content-Length : 3");
+  add("BlankAfterTransferEncoding", "Transfer-Encoding : chunked");
+  add("BlankAfterNotRun", "X-Not-Executed : 1");
+  heads.push_back({"BlankBeforeFirstField",
+                   absl::StrCat("HTTP/1.1 200 OK\r\n X-Field: x\r\n",
+                                kOwnFields, "Content-Length: 4\r\n\r\nbody")});
+  heads.push_back(
+      {"BlankInInterimField",
+       absl::StrCat("HTTP/1.1 103 Early Hints\r\nX Field: x\r\n\r\n",
+                    AnswerWithStatusLine("HTTP/1.1 200 OK")),
+       true});
+  heads.push_back({"ControlByteInInterimField",
+                   absl::StrCat("HTTP/1.1 103 Early Hints\r\nX\x01: x\r\n\r\n",
+                                AnswerWithStatusLine("HTTP/1.1 200 OK"))});
+  return heads;
+}
+
 class BrokenHeadTest
     : public FrontTest,
       public testing::WithParamInterface<std::tuple<BrokenHead, RouteKind>> {
@@ -258,6 +319,75 @@
                      testing::Values(kRouteKinds[3])),
     CaseName);
 
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         BrokenHeadTest,
+                         testing::Combine(testing::ValuesIn(BrokenFields()),
+                                          testing::Values(kRouteKinds[1],
+                                                          kRouteKinds[3])),
+                         CaseName);
+INSTANTIATE_TEST_SUITE_P(
+    TypicalFields,
+    BrokenHeadTest,
+    testing::Combine(testing::ValuesIn(Typical(BrokenFields())),
+                     testing::Values(kRouteKinds[0],
+                                     kRouteKinds[2],
+                                     kRouteKinds[4],
+                                     kRouteKinds[5])),
+    CaseName);
+INSTANTIATE_TEST_SUITE_P(
+    TypicalFields,
+    BrokenHeadOnReusedConnectionTest,
+    testing::Combine(
+        testing::ValuesIn(Typical(BrokenFields())),
+        testing::Values(kRouteKinds[0], kRouteKinds[1], kRouteKinds[3])),
+    CaseName);
+INSTANTIATE_TEST_SUITE_P(
+    TypicalFields,
+    BrokenHeadOfRestTest,
+    testing::Combine(testing::ValuesIn(Typical(BrokenFields())),
+                     testing::Values(kRouteKinds[3])),
+    CaseName);
+
+//! A trailer comes after the body, so the caller may have got that.
+class BrokenTrailerTest : public BrokenHeadTest {
+ protected:
+  static std::string MakeAnswer(const std::string& type,
+                                const std::string& body) {
+    return absl::StrCat(
+        "HTTP/1.1 200 OK\r\n", kOwnFields, "Content-Type: ", type,
+        "\r\nTransfer-Encoding: chunked\r\n\r\n", absl::Hex(body.size()),
+        "\r\n", body, "\r\n0\r\n", std::get<0>(GetParam()).bytes, "\r\n\r\n");
+  }
+};
+
+TEST_P(BrokenTrailerTest, AnswerIsNotComplete) {
+  const RouteKind& kind = std::get<1>(GetParam());
+  const bool is_stream = kind.route == std::string("report");
+  const std::string answer = is_stream
+                                 ? MakeAnswer("text/event-stream", kEvent1)
+                                 : MakeAnswer("text/plain", "body");
+  Caller* caller = RunAgainst(kind, {{answer, End::kKeepOpen}});
+  if (is_stream && caller->status() == 200) {
+    // Events may be passed on before the trailer arrives.
+    EXPECT_FALSE(caller->complete());
+  } else {
+    EXPECT_EQ(caller->status(), 502);
+    EXPECT_TRUE(caller->complete());
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    All,
+    BrokenTrailerTest,
+    testing::Combine(
+        testing::Values(BrokenHead{"BlankInName", "X Field: x"},
+                        BrokenHead{"BlankBeforeColon", "X-Field : x"},
+                        BrokenHead{"ControlByteInName", "X\x01: x"},
+                        BrokenHead{"NoColon", "X-Field"},
+                        BrokenHead{"ControlByteInValue", "X-Field: \x01"}),
+        testing::Values(kRouteKinds[0], kRouteKinds[1], kRouteKinds[2])),
+    CaseName);
+
 //! What an operator sees, and what happens to other calls of that endpoint.
 using BrokenHeadProcessTest = FrontProcessTest;
 
@@ -294,7 +424,11 @@
 
 //! Answers of the store and of peers are fetched in this way.
 TEST(BrokenHeadOfFetchTest, IsNoAnswer) {
-  for (const BrokenHead& it : BrokenStatusLines()) {
+  std::vector<BrokenHead> heads = BrokenStatusLines();
+  for (const BrokenHead& it : BrokenFields()) {
+    heads.push_back(it);
+  }
+  for (const BrokenHead& it : heads) {
     EventLoop loop;
     RawEndpoint server(&loop, it.bytes, "");
     ConnectionPool pool(&loop, [](uint64_t) {});
--- a/tests/transport/broken_answer_client_test.cpp
+++ b/tests/transport/broken_answer_client_test.cpp
@@ -30,52 +30,42 @@
   return out << it.name;
 }
 
-class BrokenAnswerClientTest : public testing::TestWithParam<BrokenAnswer> {
- protected:
-  static std::string MakeAnswer(const std::string& type,
-                                const std::string& body) {
-    return absl::StrCat(GetParam().head, "Content-Type: ", type,
-                        "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
-  }
-
-  //! Sends a call to an endpoint that answers with `bytes` and closes, and
-  //! returns the first thing that the call reports.
-  static std::optional<UpstreamEvent> FirstEvent(const std::string& bytes,
-                                                 bool streamed) {
-    ServerThread server(bytes, "");
-    ClientContext context;
-    HttpClient client;
-    UpstreamCall::Request request;
-    request.url = absl::StrCat("http://", server.address(), "/");
-    request.attempt_id = "t";
-    request.streamed = streamed;
-    std::optional<UpstreamEvent> first;
-    const UpstreamCall call(
-        client.session(), request,
-        [&](const UpstreamEvent& event) { first = first ? first : event; });
-    context.RunUntil([&] { return first.has_value(); }, Millis(3000));
-    return first;
-  }
+std::string MakeAnswer(const BrokenAnswer& answer,
+                       const std::string& type,
+                       const std::string& body) {
+  return absl::StrCat(answer.head, "Content-Type: ", type,
+                      "\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+}
 
-  static void ExpectFailure(const std::optional<UpstreamEvent>& event) {
-    ASSERT_TRUE(event.has_value());
-    EXPECT_TRUE(event->kind == UpstreamEvent::Kind::kConnectionLost ||
-                event->kind == UpstreamEvent::Kind::kError)
-        << static_cast<int>(event->kind);
-  }
-};
+//! Whether a call fails whose endpoint answers with `bytes` and closes.
+bool CallFails(const std::string& bytes, bool streamed) {
+  ServerThread server(bytes, "");
+  ClientContext context;
+  HttpClient client;
+  UpstreamCall::Request request;
+  request.url = absl::StrCat("http://", server.address(), "/");
+  request.attempt_id = "t";
+  request.streamed = streamed;
+  std::optional<UpstreamEvent::Kind> first;
+  const UpstreamCall call(
+      client.session(), request,
+      [&](const UpstreamEvent& it) { first = first.value_or(it.kind); });
+  context.RunUntil([&] { return first.has_value(); }, Millis(3000));
+  return first == UpstreamEvent::Kind::kConnectionLost ||
+         first == UpstreamEvent::Kind::kError;
+}
 
-TEST_P(BrokenAnswerClientTest, PlainCallFails) {
-  ExpectFailure(FirstEvent(MakeAnswer("text/plain", "body"), false));
+bool PlainCallFails(const BrokenAnswer& answer) {
+  return CallFails(MakeAnswer(answer, "text/plain", "body"), false);
 }
 
-TEST_P(BrokenAnswerClientTest, StreamFails) {
-  ExpectFailure(FirstEvent(
-      MakeAnswer("text/event-stream", "id: t:0\ndata: x\n\n"), true));
+bool StreamFails(const BrokenAnswer& answer) {
+  return CallFails(
+      MakeAnswer(answer, "text/event-stream", "id: t:0\ndata: x\n\n"), true);
 }
 
-TEST_P(BrokenAnswerClientTest, EndpointIsNotHealthy) {
-  ServerThread server(MakeAnswer("application/json", "{}"), "");
+EndpointHealth ProbedHealth(const BrokenAnswer& answer) {
+  ServerThread server(MakeAnswer(answer, "application/json", "{}"), "");
   ClientContext context;
   HttpClient client;
   EndpointProber prober(&client, [](const EndpointObservation&) {});
@@ -86,7 +76,7 @@
   prober.ProbeNow(Millis(1), endpoint,
                   [&](const EndpointObservation& it) { health = it.health; });
   context.RunUntil([&] { return health.has_value(); }, Millis(3000));
-  EXPECT_EQ(health, EndpointHealth::kDown);
+  return health.value_or(EndpointHealth::kUp);
 }
 
 const BrokenAnswer kStatusLines[] = {
@@ -103,14 +93,55 @@
     {"InterimStatus000", "HTTP/1.1 000 Trouble\r\n\r\nHTTP/1.1 200 OK\r\n"},
     {"Status000NotRun", "HTTP/1.1 000 Trouble\r\nX-Not-Run: 1\r\n"}};
 
+class BrokenStatusClientTest : public testing::TestWithParam<BrokenAnswer> {};
+
+TEST_P(BrokenStatusClientTest, PlainCallFails) {
+  EXPECT_TRUE(PlainCallFails(GetParam()));
+}
+
+TEST_P(BrokenStatusClientTest, StreamFails) {
+  EXPECT_TRUE(StreamFails(GetParam()));
+}
+
+TEST_P(BrokenStatusClientTest, EndpointIsNotHealthy) {
+  EXPECT_EQ(ProbedHealth(GetParam()), EndpointHealth::kDown);
+}
+
 std::string CaseName(const testing::TestParamInfo<BrokenAnswer>& info) {
   return info.param.name;
 }
 
-INSTANTIATE_TEST_SUITE_P(StatusLines,
-                         BrokenAnswerClientTest,
+INSTANTIATE_TEST_SUITE_P(All,
+                         BrokenStatusClientTest,
                          testing::ValuesIn(kStatusLines),
                          CaseName);
+const BrokenAnswer kFields[] = {
+    {"BlankInName", "HTTP/1.1 200 OK\r\nX Field: x\r\n"},
+    {"BlankBeforeColon", "HTTP/1.1 200 OK\r\nX-Field : x\r\n"},
+    {"ControlByteInName", "HTTP/1.1 200 OK\r\nX\x01: x\r\n"},
+    {"NoColon", "HTTP/1.1 200 OK\r\nX-Field\r\n"},
+    {"BlankAfterContentLength", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n"},
+    {"BlankBeforeFirstField", "HTTP/1.1 200 OK\r\n X-Field: x\r\n"},
+    {"BlankInInterimField",
+     "HTTP/1.1 103 Early Hints\r\nX Field: x\r\n\r\nHTTP/1.1 200 OK\r\n"}};
+
+TEST(BrokenFieldClientTest, PlainCallFails) {
+  for (const BrokenAnswer& it : kFields) {
+    EXPECT_TRUE(PlainCallFails(it)) << it;
+  }
+}
+
+TEST(BrokenFieldClientTest, StreamFails) {
+  for (const BrokenAnswer& it : kFields) {
+    EXPECT_TRUE(StreamFails(it)) << it;
+  }
+}
+
+TEST(BrokenFieldClientTest, EndpointIsNotHealthy) {
+  for (const BrokenAnswer& it : kFields) {
+    EXPECT_EQ(ProbedHealth(it), EndpointHealth::kDown) << it;
+  }
+}
 
 }  // namespace
 }  // namespace tamaracktrail
