--- a/tests/platform/broken_head_test.cpp
+++ b/tests/platform/broken_head_test.cpp
@@ -391,6 +391,47 @@
       << MetricsText();
 }
 
+//! An endpoint that sends such answers lives on: neither the content of the
+//! requests nor a part of their prompts has crashed it.
+class BrokenHeadContentTest : public FrontTest,
+                              public testing::WithParamInterface<BrokenHead> {
+ protected:
+  //! Losses of several contents at one endpoint at a time count as a crash, so
+  //! that each of the two endpoints has to get some of these.
+  void SendContents() {
+    for (int i = 0; i < kContents; ++i) {
+      const std::string id = absl::StrCat("id-", calls_.size());
+      calls_.push_back(Send(absl::StrReplaceAll(
+          SampleRequest("report", id),
+          {{"\r\n\r\nbody", absl::StrCat("\r\n\r\nbod", i)}})));
+    }
+  }
+
+  static constexpr int kContents = 8;
+  std::vector<Caller*> calls_;
+};
+
+TEST_P(BrokenHeadContentTest, IsNotBlocked) {
+  ScriptedEndpoint endpoint(&loop_, {{GetParam().bytes, End::kKeepOpen}});
+  ListEndpointsAt(endpoint.address(), "llm");
+  Run([this] {
+    for (const int ms : {0, 700, 1400, 2100}) {
+      loop_.After(Millis(ms), [this] { SendContents(); });
+    }
+    loop_.After(Millis(2800), [] { Stop(); });
+  });
+  ASSERT_EQ(calls_.size(), 4U * kContents);
+  for (const Caller* it : calls_) {
+    EXPECT_EQ(it->status(), 502);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(All,
+                         BrokenHeadContentTest,
+                         testing::Values(BrokenStatusLines().front(),
+                                         BrokenFields().front()),
+                         [](const auto& info) { return info.param.name; });
+
 //! Answers of the store and of peers are fetched in this way.
 TEST(BrokenHeadOfFetchTest, IsNoAnswer) {
   for (const BrokenHead& it : BrokenHeads()) {
