--- a/src/transport/peer_exchange.cpp
+++ b/src/transport/peer_exchange.cpp
@@ -140,14 +140,15 @@
         // Keeps the fetch alive until its own callback has returned.
         const auto done = std::move(*fetch);
         const absl::StatusOr<Records> records = ReadRecords(answer);
-        LogLine line(log_, "peer_asked");
-        line.Add("peer", peer)
-            .Add("what", path)
-            .Add("records", records.ok() ? records->size() : 0);
         if (!records.ok()) {
           metrics_->Count("peer_fetches_failed_total");
-          line.AddQuoted("reason", std::string(records.status().message()));
-        } else if (!records->empty()) {
+        }
+        LogLine(log_, "peer_asked")
+            .Add("peer", peer)
+            .Add("what", path)
+            .Add("records", records.ok() ? records->size() : 0)
+            .AddQuoted("reason", std::string(records.status().message()));
+        if (records.ok() && !records->empty()) {
           apply(*records);
         }
       });
--- a/src/transport/peer_exchange.h
+++ b/src/transport/peer_exchange.h
@@ -41,8 +41,7 @@
   };
 
   //! Takes ownership of the listening descriptor `fd`. Precondition: loop, log
-  //! and metrics outlive the exchange. `memory`: see
-  //! RelayServer.
+  //! and metrics outlive the exchange. `memory`: see RelayServer.
   PeerExchange(EventLoop* loop,
                EventLog* log,
                Metrics* metrics,
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -329,7 +329,7 @@
   answer_outcome_ = AttemptOutcome::kAnswered;
   cleared_of_crashes_ = false;
   answer_framing_.reset();
-  connection_lost_ = true;
+  malformed_answer_ = false;
   resuming_ = head_sent_;
   discarded_bytes_ = 0;
   events_before_attempt_ = splitter_.event_count();
@@ -464,7 +464,7 @@
   may_have_run_ = may_have_run_ || ran;
   context_->congestion.OnAttempt(context_->loop->Now(),
                                  outcome == AttemptOutcome::kNotSent);
-  if (outcome == AttemptOutcome::kBroken && connection_lost_ && ticket_) {
+  if (outcome == AttemptOutcome::kBroken && !malformed_answer_ && ticket_) {
     context_->crashes.OnConnectionLost(
         context_->loop->Now(), ticket_->incarnation_hash,
         {content_hash_, shared_parts_, cleared_of_crashes_});
--- a/src/transport/relay/relay_task.h
+++ b/src/transport/relay/relay_task.h
@@ -195,8 +195,8 @@
   size_t discarded_bytes_ = 0;  //!< Of bodies that are not for the caller.
   //! Of the present attempt's answer; unset before its head.
   std::optional<BodyFraming> answer_framing_;
-  //! Whether a broken attempt has lost its connection, as in a crash.
-  bool connection_lost_ = true;
+  //! Its bytes broke the rules of HTTP, so the endpoint has not crashed.
+  bool malformed_answer_ = false;
   bool not_event_stream_ = false;  //!< By the Content-Type of the answer.
   SseSplitter splitter_;
   Millis connection_ended_at_;  //!< See CheckConnectionEnd; 0 if not waiting.
--- a/src/transport/relay/relay_task_answers.cpp
+++ b/src/transport/relay/relay_task_answers.cpp
@@ -41,8 +41,8 @@
 //! when the answer arrives.
 constexpr double kRetryAfterFraction = 0.3;
 
-//! Whether the bytes of an answer broke the rules of HTTP or a limit, so that
-//! the endpoint is up, whatever is wrong with it. See HttpReader::Feed.
+//! Whether the bytes of an answer broke the rules of HTTP or a limit; see
+//! HttpReader::Feed.
 bool IsProtocolError(const absl::Status& status) {
   return absl::IsInvalidArgument(status) || absl::IsResourceExhausted(status) ||
          absl::IsOutOfRange(status);
@@ -369,8 +369,8 @@
 }
 
 void RelayTask::OnCallFailed(const absl::Status& status, bool sent) {
-  connection_lost_ = !IsProtocolError(status);
-  if (sent && connection_lost_ && !cleared_of_crashes_) {
+  malformed_answer_ = IsProtocolError(status);
+  if (sent && !malformed_answer_ && !cleared_of_crashes_) {
     CheckForCrash();
   }
   if (sent) {
--- a/src/transport/tcp_stream.h
+++ b/src/transport/tcp_stream.h
@@ -29,7 +29,7 @@
     //! The connection started by `Connect` is established.
     virtual void OnConnected() {}
 
-    //! Bytes or the end of the stream can be read.
+    //! Bytes, the end of the stream or its failure can be read.
     virtual void OnReadable() = 0;
 
     //! All buffered output has been handed to the kernel.
