--- a/tests/support/early_endpoint.cpp
+++ b/tests/support/early_endpoint.cpp
@@ -114,8 +114,6 @@
       case End::kReadAndKeep:
         endpoint_->loop_->UpdateWatch(fd_, EPOLLIN);
         return;
-      case End::kReadNoMore:
-        return;
     }
   }
 
@@ -155,9 +153,9 @@
 }
 
 std::ostream& operator<<(std::ostream& out, EarlyEndpoint::End end) {
-  constexpr const char* kNames[] = {
-      "Close",       "Reset",       "EndThenClose", "EndThenReset",
-      "ReadThenEnd", "ReadAndKeep", "ReadNoMore"};
+  constexpr const char* kNames[] = {"Close",        "Reset",
+                                    "EndThenClose", "EndThenReset",
+                                    "ReadThenEnd",  "ReadAndKeep"};
   return out << kNames[static_cast<int>(end)];
 }
 
--- a/tests/support/early_endpoint.h
+++ b/tests/support/early_endpoint.h
@@ -24,7 +24,6 @@
     kEndThenReset,  //!< The sending side ends at once, the rest is reset.
     kReadThenEnd,   //!< The request is read, then the connection is closed.
     kReadAndKeep,   //!< The request is read; the connection stays open.
-    kReadNoMore,    //!< The connection stays open, and nothing is read.
   };
 
   struct Script {
