--- a/tests/platform/early_answer_test.cpp
+++ b/tests/platform/early_answer_test.cpp
@@ -156,6 +156,7 @@
                                std::get<1>(info.param) / 1000, "kB",
                                testing::PrintToString(std::get<2>(info.param)));
                          });
+
 //! The request waits in the buffer of the endpoint's kernel, acknowledged; only
 //! the reset tells.
 INSTANTIATE_TEST_SUITE_P(
--- a/tests/support/client_context.h
+++ b/tests/support/client_context.h
@@ -9,8 +9,7 @@
 namespace tamaracktrail {
 
 //! Makes a new context the thread's default one. On GLib's own default context,
-//! calls that other tests have left open would end here. Not
-//! thread-safe.
+//! calls that other tests have left open would end here. Not thread-safe.
 class ClientContext {
  public:
   ClientContext() { g_main_context_push_thread_default(context_); }
