--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -3,8 +3,10 @@
 #ifndef REVIEW_STANDINS_3_STORE_H_
 #define REVIEW_STANDINS_3_STORE_H_
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -24,6 +26,22 @@
 
   int port() const { return port_; }
 
+  // A copy of all topics, as the drill of NEW_RULES.md restores one.
+  struct Copy;
+  std::shared_ptr<const Copy> MakeCopy();
+
+  // The store is away: it takes calls and answers none of them, also not later.
+  void GoAway() {
+    std::lock_guard<std::mutex> lock(mutex_);
+    away_ = true;
+    ++life_;
+    changed_.notify_all();
+  }
+
+  // It is back, from a copy; what the operator and the engines wrote since is
+  // written again.
+  void ComeBack(const Copy& copy);
+
   // What the operator and the engines write. An empty value drops the key.
   void Put(const std::string& topic,
            const std::string& key,
@@ -45,6 +63,12 @@
     std::map<std::string, Producer> producers;
   };
 
+  // Whether a call that began in this life is still answered.
+  bool MayAnswer(long long life) {
+    std::lock_guard<std::mutex> lock(mutex_);
+    return !away_ && life == life_;
+  }
+
   static std::string Encode(const std::string& key, const std::string& value) {
     return std::string(1, static_cast<char>(key.size())) + key + value;
   }
@@ -141,6 +165,14 @@
       const std::string path = target.substr(0, target.find('?'));
       std::string answer;
       int status = 200;
+      long long life = 0;
+      {
+        std::lock_guard<std::mutex> lock(mutex_);
+        life = away_ ? -1 : life_;
+      }
+      if (life < 0) {
+        continue;  // Silent; the caller gives up on the connection.
+      }
       SleepMs(2);  // An answer of the store takes some milliseconds.
       if (path == "/tamaracktrail/log-append") {
         status = Append(query, body, &answer);
@@ -151,8 +183,12 @@
       } else {
         status = 404;
       }
+      if (!MayAnswer(life)) {
+        continue;
+      }
       if (!SendAll(fd, "HTTP/1.1 " + std::to_string(status) +
-                           " Answer\r\nStore-Era: 1\r\nContent-Length: " +
+                           " Answer\r\nStore-Era: " + std::to_string(era_) +
+                           "\r\nContent-Length: " +
                            std::to_string(answer.size()) + "\r\n\r\n" + answer)) {
         break;
       }
@@ -165,6 +201,9 @@
       return 403;
     }
     std::lock_guard<std::mutex> lock(mutex_);
+    if (away_) {
+      return 503;
+    }
     Topic& topic = topics_[query["topic"]];
     Producer* producer = nullptr;
     const long long sequence = atoll(query["sequence"].c_str());
@@ -224,7 +263,13 @@
     }
     changed_.wait_for(lock,
                       std::chrono::milliseconds(atoll(query["wait_ms"].c_str())),
-                      [&] { return topic.records.size() > from; });
+                      [&, life = life_] {
+                        return topic.records.size() > from || life != life_;
+                      });
+    if (from > topic.records.size()) {
+      *answer = "{\"first_offset\":0}";
+      return 410;
+    }
     const size_t limit =
         1024 * (query.count("max_kilobytes") > 0
                     ? static_cast<size_t>(atoll(query["max_kilobytes"].c_str()))
@@ -258,8 +303,42 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::string, Topic> topics_;
+  bool away_ = false;
+  long long life_ = 0;  // Changes when the store goes away.
+  std::atomic<long long> era_{1};
+};
+
+struct Store::Copy {
+  std::map<std::string, Topic> topics;
 };
 
+inline std::shared_ptr<const Store::Copy> Store::MakeCopy() {
+  std::lock_guard<std::mutex> lock(mutex_);
+  return std::make_shared<Copy>(Copy{topics_});
+}
+
+inline void Store::ComeBack(const Copy& copy) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  const std::map<std::string, Topic> lost = std::exchange(topics_, copy.topics);
+  ++era_;
+  ++life_;
+  away_ = false;
+  for (const char* name : {"keyed.op", "keyed.servers"}) {
+    const auto before = lost.find(name);
+    if (before == lost.end()) {
+      continue;
+    }
+    Topic& now = topics_[name];
+    for (const auto& [key, newest] : before->second.newest) {
+      const auto known = now.newest.find(key);
+      if (known == now.newest.end() || known->second.first != newest.first) {
+        Add(&now, Encode(key, newest.first));
+      }
+    }
+  }
+  changed_.notify_all();
+}
+
 }  // namespace review
 
 #endif  // REVIEW_STANDINS_3_STORE_H_
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <map>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -117,13 +118,18 @@
   int status_ = 0;
 };
 
-// Reserves a free port until the object ends. SO_REUSEADDR lets a listener
-// have it as soon as the reservation is closed.
+// Returns a free port below the range from which the kernel takes the ports of
+// outgoing connections, so that none of these can have it meanwhile.
 inline int FreePort() {
-  const int fd = Listen(0);
-  const int port = PortOf(fd);
-  close(fd);
-  return port;
+  static std::mt19937 random(std::random_device{}());
+  while (true) {
+    const int port = 12000 + static_cast<int>(random() % 20000);
+    const int fd = Listen(port);
+    if (fd >= 0) {
+      close(fd);
+      return port;
+    }
+  }
 }
 
 // --- Instances ---------------------------------------------------------------
