Show that streams of a replaced engine look complete after a cut

Cause: as before, the end of an answer without length counts as proper unless the endpoint's address refuses connections at that moment; that the incarnation was replaced is no sign of a crash. Done: review/12 now needs one disruption, a cut behind which one of ten engines crashes and starts again, instead of a freeze and a crash.

--- a/review/standins-3/case_drill.cpp
+++ b/review/standins-3/case_drill.cpp
@@ -40,6 +40,7 @@
   const int away_ms = Setting("AWAY", 1000);
   const int kills = Setting("KILLS", 0);
   const int copy_at_ms = Setting("COPY_AT", 6000);
+  const bool drill = Setting("DRILL", 1) == 1;
   const int after_ms = Setting("AFTER", 25000);
   record.Add("trouble %s, prepaid %lld", trouble ? "on" : "off", prepaid);
 
@@ -152,17 +153,21 @@
   record.Add("a copy of the store is made");
   SleepMs(copy_age_ms);
   if (trouble) {
-    store.GoAway();
-    record.Add("the store is away");
+    if (drill) {
+      store.GoAway();
+      record.Add("the store is away");
+    }
     for (int i = 0; i < kills; ++i) {
       up[i] = false;
       fronts[i].process.Kill();
       record.Add("%s is killed", fronts[i].name.c_str());
     }
     SleepMs(away_ms);
-    store.ComeBack(*copy);
-    record.Add("the store is back from a copy that is %d ms old",
-               copy_age_ms + away_ms);
+    if (drill) {
+      store.ComeBack(*copy);
+      record.Add("the store is back from a copy that is %d ms old",
+                 copy_age_ms + away_ms);
+    }
     for (int i = 0; i < kills; ++i) {
       StartFront(&fronts[i], front_binary);
       up[i] = true;
--- a/review/standins-3/case_frozen.cpp
+++ b/review/standins-3/case_reborn.cpp
@@ -1,9 +1,10 @@
-// An engine crashes and is back some seconds later, while the machine of one
-// instance stands still.
-//   case_frozen FRONT ENGINE FOLDER RECORD
+// Case 12: an engine is cut off from the instances, crashes behind the cut and
+// starts again before it heals (`node_cut`, how = "servers reborn").
+//   case_reborn FRONT ENGINE FOLDER RECORD
 #include <algorithm>
 #include <memory>
 
+#include "link.h"
 #include "world.h"
 
 using namespace review;
@@ -12,12 +13,12 @@
 
 constexpr int kEvents = 76;
 constexpr int kGapMs = 100;
-constexpr int kFreezeMs = 4000;
-constexpr int kCrashAfterMs = 300;
+constexpr int kCutMs = 5000;
+constexpr int kCrashAfterMs = 500;
 constexpr int kDownMs = 2000;
-constexpr int kStreams = 21;
-// One of seven crashes: a share of 0.143.
-constexpr int kEngines = 7;
+constexpr int kStreams = 30;
+// One of ten is cut off: a share of 0.1.
+constexpr int kEngines = 10;
 
 }  // namespace
 
@@ -38,18 +39,21 @@
   const char* zones[] = {"amman-a", "amman-b", "amman-c"};
   std::vector<std::unique_ptr<Entry>> entries;
   std::vector<std::unique_ptr<Process>> engines;
+  std::vector<std::unique_ptr<Link>> links;
   std::vector<std::vector<std::string>> words;  // To start them.
   const std::string runs = folder + "/engines.txt";
   for (int i = 0; i < kEngines; ++i) {
     const int port = FreePort();
+    const int link_port = FreePort();
     const std::string id = "i-7f3a91c" + std::to_string(i);
     engines.push_back(std::make_unique<Process>());
     words.push_back({engine_binary, std::to_string(port), id, runs,
                      std::to_string(kEvents), std::to_string(kGapMs),
                      "connection"});
     engines.back()->Start(words.back(), folder + "/engine.log");
+    links.push_back(std::make_unique<Link>(link_port, port));
     entries.push_back(std::make_unique<Entry>(&store, id, "assist", zones[i % 3],
-                                              port, 64));
+                                              link_port, 64));
     entries.back()->Beat();
   }
   std::mutex mutex;
@@ -117,47 +121,43 @@
           id, it.status, it.framing.c_str(), it.end.c_str(), ids.size(),
           ids.empty() ? 0 : ids.back(), kEvents);
     });
-    SleepMs(150);
+    SleepMs(80);
   }
   SleepMs(600);
   if (trouble) {
-    // The engine with the most streams of the instance that will stand still.
+    // The engine with the most streams.
     std::vector<int> streams(kEngines);
     std::ifstream in(runs);
     for (std::string line; std::getline(in, line);) {
       for (size_t i = 0; i < kEngines; ++i) {
-        const std::string runs_text = entries[i]->id() + " runs ";
-        const size_t at = line.find(runs_text);
-        // Clients with an even number are those of the first instance.
-        streams[i] += at != std::string::npos &&
-                      strtol(line.substr(at + runs_text.size(), 7).c_str(),
-                             nullptr, 16) % 2 == 0;
+        streams[i] += line.find(entries[i]->id() + " runs") != std::string::npos;
       }
     }
-    const auto leaves = static_cast<size_t>(
+    const auto chosen = static_cast<size_t>(
         std::max_element(streams.begin(), streams.end()) - streams.begin());
-    fronts[0].process.Signal(SIGSTOP);
-    record.Add("the machine of %s stands still", fronts[0].name.c_str());
+    links[chosen]->Cut(true);
+    record.Add("engine %s is cut off from the instances",
+               entries[chosen]->id().c_str());
     SleepMs(kCrashAfterMs);
     {
       std::lock_guard<std::mutex> lock(mutex);
-      listed[leaves] = false;
+      listed[chosen] = false;
     }
-    engines[leaves]->Kill();
-    record.Add("engine %s crashes", entries[leaves]->id().c_str());
+    engines[chosen]->Kill();
+    record.Add("engine %s crashes", entries[chosen]->id().c_str());
     SleepMs(kDownMs);
-    engines[leaves]->Start(words[leaves], folder + "/engine.log");
+    engines[chosen]->Start(words[chosen], folder + "/engine.log");
     SleepMs(100);
     {
       std::lock_guard<std::mutex> lock(mutex);
-      entries[leaves]->Reborn();
-      entries[leaves]->Beat();
-      listed[leaves] = true;
+      entries[chosen]->Reborn();
+      entries[chosen]->Beat();
+      listed[chosen] = true;
     }
-    record.Add("engine %s is back", entries[leaves]->id().c_str());
-    SleepMs(kFreezeMs - kCrashAfterMs - kDownMs - 100);
-    fronts[0].process.Signal(SIGCONT);
-    record.Add("the machine of %s wakes", fronts[0].name.c_str());
+    record.Add("engine %s is back", entries[chosen]->id().c_str());
+    SleepMs(kCutMs - kCrashAfterMs - kDownMs - 100);
+    links[chosen]->Cut(false);
+    record.Add("the cut has healed after %d ms", kCutMs);
   }
   for (std::thread& it : clients) {
     it.join();
