--- a/review/standins-3/case_drill.cpp
+++ b/review/standins-3/case_drill.cpp
@@ -1,6 +1,8 @@
 // A drill of the store: it is away for a moment and comes back from a copy some
-// seconds old, while a tenant uses up its prepaid budget.
+// seconds old, while a tenant uses up its prepaid budget. All instances are
+// killed when it goes away and started again when it is back.
 //   case_drill FRONT ENGINE FOLDER RECORD
+// DRILL=0 leaves the drill out, KILLS=0 the kills.
 #include <algorithm>
 #include <memory>
 
@@ -17,6 +19,11 @@
 constexpr int kTokensPerEvent = 5;
 constexpr int kPromptTokens = 1460;
 constexpr int kClients = 40;
+constexpr long long kPrepaid = 2000000;
+constexpr int kCopyAtMs = 300;    // After the tenant's first request.
+constexpr int kCopyAgeMs = 3000;  // When the store goes away.
+constexpr int kAwayMs = 1000;
+constexpr int kAfterMs = 16000;
 
 int Setting(const char* name, int fallback) {
   const char* text = getenv(name);
@@ -35,17 +42,12 @@
   const std::string folder = argv[3];
   Record record(argv[4]);
   const bool trouble = TroubleOn();
-  const long long prepaid = Setting("PREPAID", 2500000);
-  const int copy_age_ms = Setting("COPY_AGE", 3000);
-  const int away_ms = Setting("AWAY", 1000);
-  const int kills = Setting("KILLS", 0);
-  const int copy_at_ms = Setting("COPY_AT", 6000);
   const bool drill = Setting("DRILL", 1) == 1;
-  const int after_ms = Setting("AFTER", 25000);
-  record.Add("trouble %s, prepaid %lld", trouble ? "on" : "off", prepaid);
+  const int kills = Setting("KILLS", kFronts);
+  record.Add("trouble %s, prepaid %lld", trouble ? "on" : "off", kPrepaid);
 
   Store store;
-  store.Put("keyed.op", "config", Config(7, "", prepaid));
+  store.Put("keyed.op", "config", Config(7, "", kPrepaid));
   const char* zones[] = {"amman-a", "amman-b", "amman-c"};
   std::vector<std::unique_ptr<Entry>> entries;
   std::vector<std::unique_ptr<Process>> engines;
@@ -122,9 +124,9 @@
           const long long tokens = kPromptTokens + events * kTokensPerEvent;
           const long long sum = used += tokens;
           ++served;
-          if (sum > prepaid && sum - tokens <= prepaid) {
+          if (sum > kPrepaid && sum - tokens <= kPrepaid) {
             record.Add("delivered tokens exceed the budget: %lld of %lld", sum,
-                       prepaid);
+                       kPrepaid);
           }
         } else if (it.status == 402) {
           ++refused402;
@@ -148,10 +150,10 @@
     }
   });
 
-  SleepMs(copy_at_ms);
+  SleepMs(kCopyAtMs);
   const auto copy = store.MakeCopy();
   record.Add("a copy of the store is made");
-  SleepMs(copy_age_ms);
+  SleepMs(kCopyAgeMs);
   if (trouble) {
     if (drill) {
       store.GoAway();
@@ -162,11 +164,11 @@
       fronts[i].process.Kill();
       record.Add("%s is killed", fronts[i].name.c_str());
     }
-    SleepMs(away_ms);
+    SleepMs(kAwayMs);
     if (drill) {
       store.ComeBack(*copy);
       record.Add("the store is back from a copy that is %d ms old",
-                 copy_age_ms + away_ms);
+                 kCopyAgeMs + kAwayMs);
     }
     for (int i = 0; i < kills; ++i) {
       StartFront(&fronts[i], front_binary);
@@ -174,7 +176,7 @@
       record.Add("%s is started again", fronts[i].name.c_str());
     }
   }
-  SleepMs(after_ms);
+  SleepMs(kAfterMs);
   stop = true;
   for (std::thread& it : clients) {
     it.join();
@@ -183,14 +185,14 @@
   beats.join();
   record.Add("served %d, delivered %lld of %lld prepaid tokens, 402 %d, 503 "
              "%d, other %d",
-             served.load(), used.load(), prepaid, refused402.load(),
+             served.load(), used.load(), kPrepaid, refused402.load(),
              refused503.load(), other.load());
   for (Front& it : fronts) {
     it.process.Kill();
   }
-  if (used > prepaid) {
+  if (used > kPrepaid) {
     record.Add("the tenant got %lld tokens more than its prepaid",
-               used - prepaid);
+               used - kPrepaid);
     return 1;
   }
   return 0;
