Log what the event loop worked on when a wake-up is long

The logs and metrics of an instance did not tell what held its event loop up: requests ended late, with no line between. Each handler, timer and deferred callback is measured now and names what it works on (the answer of an endpoint, a caller's request, datagrams of peers).

--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -125,19 +125,54 @@
     // An earlier handler of this wake-up may have closed the descriptor, and a
     // new connection may have the same number; its generation differs.
     if (it != watched_.end() && it->second.generation == tag >> 32) {
-      it->second.handler->OnReady(events[i].events);
+      RunTurn("descriptor",
+              [&] { it->second.handler->OnReady(events[i].events); });
     }
   }
   RunTimers();
   RunDeferred();
   UpdateReadyTime();
+  EndWakeUp();
+}
+
+template <class Function>
+void EventLoop::RunTurn(std::string_view source, const Function& run) {
+  SetTurnOwner(source, {});
+  const Millis began_at = MonotonicNow();
+  run();
+  turn_.duration = MonotonicNow() - began_at;
+  if (turn_.duration > longest_turn_.duration) {
+    std::swap(turn_, longest_turn_);
+  }
+}
+
+void EventLoop::EndWakeUp() {
+  const Millis duration = MonotonicNow() - now_;
+  longest_wake_up_ = std::max(longest_wake_up_, duration);
+  if (on_slow_wake_up_ != nullptr && duration >= slow_limit_) {
+    on_slow_wake_up_(duration, longest_turn_);
+  }
+  longest_turn_.duration = {};
+}
+
+void EventLoop::SetTurnOwner(std::string_view source,
+                             std::string_view peer,
+                             std::string_view request) {
+  turn_.source = source;
+  turn_.peer = peer;
+  turn_.request = request;
+}
+
+void EventLoop::ReportSlowWakeUps(Millis limit, OnSlowWakeUp callback) {
+  slow_limit_ = limit;
+  on_slow_wake_up_ = std::move(callback);
 }
 
 void EventLoop::RunTimers() {
   while (!timers_.empty() && timers_.begin()->first.first <= now_.count()) {
     const Callback callback = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
-    callback();
+    RunTurn("timer", callback);
   }
 }
 
@@ -146,7 +181,7 @@
     std::vector<Callback> batch;
     batch.swap(deferred_);
     for (const Callback& it : batch) {
-      it();
+      RunTurn("deferred", it);
     }
   }
 }
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "state/millis.h"
+#include "transport/loop_turn.h"
 
 typedef struct _GMainLoop GMainLoop;
 typedef struct _GSource GSource;
@@ -60,6 +62,20 @@
   //! Time since boot, suspension included; read once per wake-up.
   Millis Now() const { return now_; }
 
+  //! Names what the running turn works on, for `OnSlowWakeUp`. The last call of
+  //! a turn counts.
+  void SetTurnOwner(std::string_view source,
+                    std::string_view peer,
+                    std::string_view request = {});
+
+  //! Receives the duration of a wake-up and its longest turn.
+  using OnSlowWakeUp = std::function<void(Millis, const LoopTurn&)>;
+  //! Calls `callback` after each wake-up that took `limit` or longer: no other
+  //! descriptor was served in that time.
+  void ReportSlowWakeUps(Millis limit, OnSlowWakeUp callback);
+  //! Duration of the longest wake-up so far.
+  Millis longest_wake_up() const { return longest_wake_up_; }
+
   //! Bytes that the TCP connections of this loop received and sent so far.
   struct Traffic {
     uint64_t received = 0;
@@ -75,6 +91,11 @@
   };
 
   void Dispatch();
+  //! Calls `run` as one turn and measures it. `source` counts unless the turn
+  //! names its owner.
+  template <class Function>
+  void RunTurn(std::string_view source, const Function& run);
+  void EndWakeUp();
   void RunTimers();
   void RunDeferred();
   void UpdateReadyTime();
@@ -86,6 +107,11 @@
   uint64_t next_timer_ = 1;
   Millis now_;
   Traffic traffic_;
+  LoopTurn turn_;          //!< The running one.
+  LoopTurn longest_turn_;  //!< Of this wake-up.
+  Millis longest_wake_up_;
+  Millis slow_limit_;
+  OnSlowWakeUp on_slow_wake_up_;
   std::unordered_map<int, Watched> watched_;
   std::map<TimerId, Callback> timers_;
   std::vector<Callback> deferred_;
--- a/src/transport/peer_gossip.cpp
+++ b/src/transport/peer_gossip.cpp
@@ -85,6 +85,7 @@
 }
 
 void PeerGossip::OnReady(uint32_t) {
+  loop_->SetTurnOwner("datagram", {});
   std::array<char, 65536> buf;
   for (int i = 0; i < kReportsPerWakeUp; ++i) {
     const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -53,10 +53,12 @@
 CallerConnection::CallerConnection(EventLoop* loop,
                                    RelayServer* server,
                                    uint64_t id,
-                                   int fd)
+                                   int fd,
+                                   std::string peer)
     : loop_(loop),
       server_(server),
       id_(id),
+      peer_(std::move(peer)),
       memory_(server->memory()),
       stream_(TcpStream::Adopt(loop, fd, this)),
       waiting_since_(loop->Now()) {
@@ -79,6 +81,7 @@
   if (closed_) {
     return;  // It gave way to a new connection in this wake-up.
   }
+  loop_->SetTurnOwner("caller", peer_);
   const size_t before = input_.size();
   const TcpStream::ReadResult result = stream_->Read(&input_, kReadBytes);
   if (result == TcpStream::ReadResult::kEndOfStream ||
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -30,8 +30,13 @@
 //! is detected at once. Not thread-safe.
 class CallerConnection : private TcpStream::Observer {
  public:
-  //! `id` is unique among the connections of the server.
-  CallerConnection(EventLoop* loop, RelayServer* server, uint64_t id, int fd);
+  //! `id` is unique among the connections of the server; `peer` is the
+  //! caller's address.
+  CallerConnection(EventLoop* loop,
+                   RelayServer* server,
+                   uint64_t id,
+                   int fd,
+                   std::string peer);
   ~CallerConnection() override;
 
   CallerConnection(const CallerConnection&) = delete;
@@ -62,6 +67,7 @@
   //! How the answer's end is recognised. Precondition: the answer has begun.
   BodyFraming answer_framing() const { return answer_framing_; }
   uint64_t id() const { return id_; }
+  const std::string& peer() const { return peer_; }
   bool has_open_request() const { return task_ != nullptr; }
   //! Whether bytes of an answer wait for the caller to read.
   bool has_unsent_bytes() const { return stream_->pending_bytes() > 0; }
@@ -108,6 +114,7 @@
   EventLoop* loop_;
   RelayServer* server_;
   uint64_t id_;
+  std::string peer_;
   ConnectionMemory* memory_;  //!< Null if nothing is counted.
   uint64_t memory_id_ = 0;
   size_t body_bytes_ = 0;  //!< Of the body: announced, or of the open request.
--- a/src/transport/relay/endpoint_call.cpp
+++ b/src/transport/relay/endpoint_call.cpp
@@ -130,6 +130,7 @@
 }
 
 void EndpointCall::OnReadable() {
+  loop_->SetTurnOwner("answer", options_.address, options_.request_id);
   bool ended = false;
   const size_t left = input_.size();
   if (!ReadOnce(&ended)) {
--- a/src/transport/relay/endpoint_call.h
+++ b/src/transport/relay/endpoint_call.h
@@ -48,6 +48,7 @@
   struct Options {
     uint64_t endpoint = 0;     //!< Key of its connections in the pool.
     std::string address;       //!< "ip:port".
+    std::string request_id;    //!< For the log; may be empty.
     bool expects_body = true;  //!< False for the HEAD method.
     Millis connect_timeout;
     Millis ack_timeout;  //!< See TcpStream::Connect.
--- a/src/transport/relay/relay_server.cpp
+++ b/src/transport/relay/relay_server.cpp
@@ -16,6 +16,7 @@
 #include "transport/relay/caller_connection.h"
 #include "transport/relay/caller_request.h"
 #include "transport/relay/connection_memory.h"
+#include "transport/socket_address.h"
 
 namespace tamaracktrail {
 
@@ -88,6 +89,7 @@
 }
 
 void RelayServer::OnReady(uint32_t) {
+  loop_->SetTurnOwner("accept", {});
   for (int i = 0; i < kAcceptsPerWakeUp; ++i) {
     sockaddr_in from{};
     socklen_t n = sizeof(from);
@@ -112,7 +114,8 @@
     const uint64_t id = ++last_id_;
     slots_.Add(loop_->Now(), id, from.sin_addr.s_addr);
     connections_.emplace(
-        id, std::make_unique<CallerConnection>(loop_, this, id, fd));
+        id, std::make_unique<CallerConnection>(loop_, this, id, fd,
+                                               FormatSocketAddress(from)));
   }
 }
 
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -320,6 +320,7 @@
   EndpointCall::Options options;
   options.endpoint = choice.incarnation_hash;
   options.address = choice.address;
+  options.request_id = request_id_;
   options.expects_body = request_.method != "HEAD";
   options.connect_timeout = std::min(kConnectTimeout, Remaining());
   options.ack_timeout = kAckTimeout;
--- a/src/transport/relay/relay_task_admission.cpp
+++ b/src/transport/relay/relay_task_admission.cpp
@@ -8,6 +8,7 @@
 #include "state/routing_config.h"
 #include "transport/event_loop.h"
 #include "transport/log_line.h"
+#include "transport/relay/caller_connection.h"
 #include "transport/relay/relay_context.h"
 #include "transport/relay/relay_limits.h"
 #include "transport/relay/relay_task.h"
@@ -18,6 +19,7 @@
   const CallDialect& dialect = context_->dialect;
   request_id_ = std::string(
       request_.fields.Find(dialect.request_id).value_or(std::string_view()));
+  context_->loop->SetTurnOwner("request", connection_->peer(), request_id_);
   if (config_ == nullptr) {
     RefuseWithRetryAfter("no_configuration", kNoConfigRetryAfter);
     return false;
--- a/src/transport/socket_address.cpp
+++ b/src/transport/socket_address.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <cerrno>
 
 #include "absl/status/status.h"
@@ -63,6 +64,12 @@
   return address;
 }
 
+std::string FormatSocketAddress(const sockaddr_in& address) {
+  std::array<char, INET_ADDRSTRLEN> ip{};
+  inet_ntop(AF_INET, &address.sin_addr, ip.data(), ip.size());
+  return absl::StrCat(ip.data(), ":", ntohs(address.sin_port));
+}
+
 absl::StatusOr<int> ListenTcp(const std::string& address) {
   absl::StatusOr<int> fd = OpenBoundSocket(address, SOCK_STREAM);
   if (fd.ok() && listen(*fd, kListenBacklog) != 0) {
--- a/src/transport/socket_address.h
+++ b/src/transport/socket_address.h
@@ -12,6 +12,9 @@
 //! Parses "ip:port" with a numeric IPv4 address. Thread-safe.
 absl::StatusOr<sockaddr_in> ParseSocketAddress(const std::string& text);
 
+//! Returns "ip:port". Thread-safe.
+std::string FormatSocketAddress(const sockaddr_in& address);
+
 //! Opens a listening, non-blocking TCP socket. Errors: kAlreadyExists if
 //! another socket has the address, others if it cannot be parsed or bound. The
 //! caller owns the descriptor. Thread-safe.
