--- a/src/protocol/sse_parser.cpp
+++ b/src/protocol/sse_parser.cpp
@@ -1,16 +1,20 @@
 #include "protocol/sse_parser.h"
 
+#include <cstddef>
+#include <string_view>
+
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
+#include "protocol/text.h"
 
 namespace tamaracktrail {
 
 namespace {
 
-SseEvent ParseEvent(const std::string& block) {
+SseEvent ParseEvent(std::string_view block) {
   SseEvent event;
   const std::vector<std::string> lines =
-      absl::StrSplit(block, '\n', absl::SkipEmpty());
+      absl::StrSplit(AsAbsl(block), '\n', absl::SkipEmpty());
   for (const std::string& raw : lines) {
     const std::string line(absl::StripSuffix(raw, "\r"));
     if (line.starts_with("id:")) {
@@ -28,13 +32,13 @@
 std::vector<SseEvent> SseParser::Feed(const std::string& bytes) {
   buffer_ += bytes;
   std::vector<SseEvent> events;
-  size_t start = 0;
-  size_t end = 0;
-  while ((end = buffer_.find("\n\n", start)) != std::string::npos) {
-    events.push_back(ParseEvent(buffer_.substr(start, end - start)));
-    start = end + 2;
+  std::string_view rest = buffer_;
+  for (size_t n = scanner_.Next(rest); n != std::string_view::npos;
+       n = scanner_.Next(rest)) {
+    events.push_back(ParseEvent(rest.substr(0, n)));
+    rest.remove_prefix(n);
   }
-  buffer_.erase(0, start);
+  buffer_.erase(0, buffer_.size() - rest.size());
   return events;
 }
 
--- a/src/protocol/sse_parser.h
+++ b/src/protocol/sse_parser.h
@@ -1,9 +1,13 @@
 #ifndef PROTOCOL_SSE_PARSER_H_
 #define PROTOCOL_SSE_PARSER_H_
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
+#include "protocol/sse_event_scanner.h"
+
 namespace tamaracktrail {
 
 //! One server-sent event.
@@ -24,7 +28,11 @@
   //! Number of buffered bytes of an incomplete event.
   size_t pending_bytes() const { return buffer_.size(); }
 
+  //! Bytes examined so far to find the ends of events.
+  uint64_t examined_bytes() const { return scanner_.examined_bytes(); }
+
  private:
+  SseEventScanner scanner_;
   std::string buffer_;
 };
 
--- a/src/protocol/sse_splitter.cpp
+++ b/src/protocol/sse_splitter.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
-#include <utility>
+#include <optional>
 
 #include "absl/strings/numbers.h"
 #include "protocol/text.h"
@@ -11,19 +11,6 @@
 
 namespace {
 
-//! Returns the end of the first event in `text`, after its blank line; npos if
-//! no event is complete.
-size_t EventEnd(std::string_view text) {
-  // The two line ends of a blank line may differ.
-  const size_t lf = text.find("\n\n");
-  const size_t crlf = text.find("\n\r\n");
-  if (crlf != std::string_view::npos &&
-      (lf == std::string_view::npos || crlf < lf)) {
-    return crlf + 3;
-  }
-  return lf == std::string_view::npos ? lf : lf + 2;
-}
-
 //! Returns the value of the event's id field; empty if it has none.
 std::string_view EventId(std::string_view event) {
   size_t at = 0;
@@ -50,35 +37,33 @@
 std::string SseSplitter::Feed(std::string_view bytes) {
   buffer_.append(bytes);
   std::string complete;
-  size_t at = 0;
-  const std::string_view all = buffer_;
-  while (true) {
-    const size_t end = EventEnd(all.substr(at));
-    if (end == std::string_view::npos) {
-      break;
-    }
-    const std::string_view event = all.substr(at, end);
-    std::string id;
-    if (!IsRepeated(event, &id)) {
+  std::string_view rest = buffer_;
+  for (size_t n = scanner_.Next(rest); n != std::string_view::npos;
+       n = scanner_.Next(rest)) {
+    const std::string_view event = rest.substr(0, n);
+    rest.remove_prefix(n);
+    if (Accept(EventId(event))) {
       complete.append(event);
       ++event_count_;
-      if (!id.empty()) {
-        last_event_id_ = std::move(id);
-      }
     }
-    at += end;
   }
-  buffer_.erase(0, at);
+  buffer_.erase(0, buffer_.size() - rest.size());
   return complete;
 }
 
-bool SseSplitter::IsRepeated(std::string_view event, std::string* id) const {
-  const std::string_view text = EventId(event);
-  *id = std::string(text);
-  int64_t number = 0;
-  int64_t last = 0;
-  return absl::SimpleAtoi(AsAbsl(text), &number) &&
-         absl::SimpleAtoi(last_event_id_, &last) && number <= last;
+bool SseSplitter::Accept(std::string_view id) {
+  int64_t value = 0;
+  const std::optional<int64_t> number = absl::SimpleAtoi(AsAbsl(id), &value)
+                                            ? std::optional(value)
+                                            : std::nullopt;
+  if (number && last_number_ && *number <= *last_number_) {
+    return false;
+  }
+  if (!id.empty()) {
+    last_event_id_ = id;
+    last_number_ = number;
+  }
+  return true;
 }
 
 }  // namespace tamaracktrail
