--- a/tests/platform/endless_stream_test.cpp
+++ b/tests/platform/endless_stream_test.cpp
@@ -21,6 +21,8 @@
 //! Other calls, one after the other, that have to be answered before the
 //! stream's deadline of 1.2 s.
 constexpr int kMinAnswered = 20;
+//! More than fit into the time for which the process runs.
+constexpr int kMaxPolls = 10000;
 constexpr char kStreamId[] = "stream-1";
 
 struct Filler {
@@ -71,7 +73,8 @@
         [this, other] {
           answered_others_ += other->status() == 200 ? 1 : 0;
           CallUntilStreamEnds();
-        });
+        },
+        kMaxPolls);
   }
 
   Caller* stream_ = nullptr;
@@ -86,7 +89,7 @@
              [this] {
                stream_ = Send(SampleRequest("report", kStreamId));
                Await([this] { return stream_->status() == 200; },
-                     [this] { CallUntilStreamEnds(); });
+                     [this] { CallUntilStreamEnds(); }, kMaxPolls);
              });
   EXPECT_GE(answered_others_, kMinAnswered);
 }
