--- a/src/coordination/crash_suspects.cpp
+++ b/src/coordination/crash_suspects.cpp
@@ -43,18 +43,26 @@
   return uint32_t{1} << index;
 }
 
-//! Returns the number of crashes that did not happen together.
-template <class Records>
-int CountSeparate(const Records& records) {
+//! Number of crashes that did not happen together, added in order of time.
+struct SeparateCount {
   int n = 0;
   Millis last;
-  for (const auto* it : records) {
-    if (n == 0 || it->at - last >= kTogether) {
+
+  void Add(Millis at) {
+    if (n == 0 || at - last >= kTogether) {
       ++n;
-      last = it->at;
+      last = at;
     }
   }
-  return n;
+};
+
+template <class Records>
+int CountSeparate(const Records& records) {
+  SeparateCount count;
+  for (const auto* it : records) {
+    count.Add(it->at);
+  }
+  return count.n;
 }
 
 //! Calls `handle` for each implicated unit from index `from` on.
@@ -112,16 +120,7 @@
                                           Millis at,
                                           const SuspectCrash& crash) {
   if (records_.size() >= kMaxRecords) {
-    const auto least_suspect =
-        std::find_if(records_.begin(), records_.end(), [&](const Record& it) {
-          int crashes = 0;
-          ForEachImplicated(it.crash, 0, [&](uint64_t unit) {
-            crashes = std::max(crashes, CountCrashes(unit));
-          });
-          return crashes <= 1;
-        });
-    records_.erase(least_suspect == records_.end() ? records_.begin()
-                                                   : least_suspect);
+    DropLeastSuspect();
   }
   const auto place = std::upper_bound(
       records_.begin(), records_.end(), at,
@@ -131,6 +130,26 @@
   return &*records_.insert(place, {crash, at, now});
 }
 
+void CrashSuspects::DropLeastSuspect() {
+  // In one pass: to count the crashes of each unit by itself would read all
+  // records for each unit of each record.
+  std::unordered_map<uint64_t, SeparateCount> crashes;
+  for (const Record& it : records_) {
+    ForEachImplicated(it.crash, 0,
+                      [&](uint64_t unit) { crashes[unit].Add(it.at); });
+  }
+  const auto least_suspect =
+      std::find_if(records_.begin(), records_.end(), [&](const Record& it) {
+        int most = 0;
+        ForEachImplicated(it.crash, 0, [&](uint64_t unit) {
+          most = std::max(most, crashes[unit].n);
+        });
+        return most <= 1;
+      });
+  records_.erase(least_suspect == records_.end() ? records_.begin()
+                                                 : least_suspect);
+}
+
 std::vector<SuspectCrash> CrashSuspects::TakeLearned() {
   return std::exchange(learned_, {});
 }
--- a/src/coordination/crash_suspects.h
+++ b/src/coordination/crash_suspects.h
@@ -39,7 +39,8 @@
   //! An endpoint has answered a request with the unit.
   void OnAnswered(Millis now, uint64_t unit);
 
-  //! A peer reported crashes.
+  //! A peer reported crashes. The work for each grows with the number of
+  //! records, so the caller limits the number of crashes.
   void OnReport(Millis now, const std::vector<SuspectCrash>& crashes);
 
   //! Returns at most `n` crashes for the peers: recent changes, and once a
@@ -104,6 +105,7 @@
 
   Record* Find(const SuspectCrash& crash);
   Record* Add(Millis now, Millis at, const SuspectCrash& crash);
+  void DropLeastSuspect();
   //! Adds a reported crash or merges it with the known one. Returns nullptr for
   //! an invalid one.
   Record* Merge(Millis now, const SuspectCrash& crash);
--- a/tests/coordination/crash_suspects_test.cpp
+++ b/tests/coordination/crash_suspects_test.cpp
@@ -193,5 +193,29 @@
   EXPECT_TRUE(suspects_.IsPartBlocked(now_, kCrashing));
 }
 
+// Guards against a full table that forgets other crashes than the oldest ones
+// if all of them implicate units that have crashed twice.
+TEST_F(CrashSuspectsTest, FullTableOfCrashingUnitsDropsTheOldestCrash) {
+  constexpr uint64_t kRecords = 512;
+  constexpr uint64_t kUnits = 32;
+  std::vector<SuspectCrash> crashes;
+  for (uint64_t i = 0; i < kRecords + 100; ++i) {
+    SuspectCrash& it = crashes.emplace_back();
+    it.endpoint = i;
+    it.implicated = ~uint32_t{0};
+    // Each unit crashed two endpoints, far apart.
+    const uint64_t pair = i % (kRecords / 2);
+    it.age_ms = static_cast<int64_t>(1000 * (kRecords + 100 - i));
+    for (uint64_t unit = 0; unit < kUnits; ++unit) {
+      it.units.push_back(pair * kUnits + unit);
+    }
+  }
+  suspects_.OnReport(now_, crashes);
+  // Of the last 512 crashes, those of the first 100 pairs are the newest.
+  EXPECT_EQ(suspects_.CountCrashes(0), 2);
+  EXPECT_EQ(suspects_.CountCrashes(200 * kUnits), 2);
+  EXPECT_EQ(suspects_.CountCrashes(99 * kUnits), 2);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
