Take short messages from a buffer without moving the rest each time

Interim and foreign answers, pipelined requests and frames of peers were erased from the front of their buffer one by one, so each moved up to 64 KiB. HttpReader::Parse reports what it has taken instead of erasing it.

Beast reads the line of a last chunk again in each call until the trailer is complete: with an extension of 32 KB, each byte of a trailer that arrives alone cost 32 KB of work. HttpReader now waits for the end of the trailer before it calls the parser again.

--- a/src/protocol/frame_codec.cpp
+++ b/src/protocol/frame_codec.cpp
@@ -11,6 +11,7 @@
 
 #include <glog/logging.h>
 
+#include "protocol/byte_queue.h"
 #include "state/digest.h"
 
 namespace tamaracktrail {
@@ -32,7 +33,7 @@
   return out;
 }
 
-uint64_t DecodeBigEndian(const std::string& data, size_t offset, size_t bytes) {
+uint64_t DecodeBigEndian(std::string_view data, size_t offset, size_t bytes) {
   uint64_t value = 0;
   for (size_t i = 0; i < bytes; ++i) {
     value = value << 8 | static_cast<unsigned char>(data[offset + i]);
@@ -61,8 +62,9 @@
 }
 
 absl::StatusOr<PeerMessage> FrameCodec::Decode(const std::string& frame) const {
-  std::string buf = frame;
-  absl::StatusOr<std::optional<PeerMessage>> message = TakeFrom(buf);
+  ByteQueue buf;
+  buf.Append(frame);
+  absl::StatusOr<std::optional<PeerMessage>> message = TakeFrom(&buf);
   if (!message.ok()) {
     return message.status();
   }
@@ -73,20 +75,21 @@
 }
 
 absl::StatusOr<std::optional<PeerMessage>> FrameCodec::TakeFrom(
-    std::string& buffer) const {
-  if (buffer.size() < kHeaderBytes) {
+    ByteQueue* buffer) const {
+  const std::string_view bytes = buffer->view();
+  if (bytes.size() < kHeaderBytes) {
     return std::nullopt;
   }
-  const absl::StatusOr<size_t> body_bytes = BodyLength(buffer);
+  const absl::StatusOr<size_t> body_bytes = BodyLength(bytes);
   if (!body_bytes.ok()) {
     return body_bytes.status();
   }
-  if (buffer.size() < kHeaderBytes + *body_bytes) {
+  if (bytes.size() < kHeaderBytes + *body_bytes) {
     return std::nullopt;
   }
-  const std::string tag = buffer.substr(kTagOffset, kTagBytes);
-  const std::string body = buffer.substr(kHeaderBytes, *body_bytes);
-  buffer.erase(0, kHeaderBytes + *body_bytes);
+  const std::string tag(bytes.substr(kTagOffset, kTagBytes));
+  const std::string body(bytes.substr(kHeaderBytes, *body_bytes));
+  buffer->Consume(kHeaderBytes + *body_bytes);
   if (!DigestsEqual(tag, HmacSha256(key_, body))) {
     return absl::UnauthenticatedError("frame has a wrong tag");
   }
@@ -101,7 +104,7 @@
   }
 }
 
-absl::StatusOr<size_t> FrameCodec::BodyLength(const std::string& header) const {
+absl::StatusOr<size_t> FrameCodec::BodyLength(std::string_view header) const {
   if (header.compare(0, kMagicBytes, kMagic) != 0) {
     return absl::DataLossError("frame does not start with the magic number");
   }
--- a/src/protocol/frame_codec.h
+++ b/src/protocol/frame_codec.h
@@ -4,12 +4,15 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "absl/status/statusor.h"
 #include "protocol/peer_message.h"
 
 namespace tamaracktrail {
 
+class ByteQueue;
+
 constexpr uint16_t kPeerProtocolVersion = 1;
 
 //! Encodes peer messages as authenticated frames.
@@ -39,12 +42,11 @@
   //! Decodes the first frame of a stream and removes it from `buffer`. Returns
   //! nullopt if the frame is incomplete. The stream is unusable after an error;
   //! the errors are those of Decode.
-  absl::StatusOr<std::optional<PeerMessage>> TakeFrom(
-      std::string& buffer) const;
+  absl::StatusOr<std::optional<PeerMessage>> TakeFrom(ByteQueue* buffer) const;
 
  private:
   //! Body length that a header declares.
-  absl::StatusOr<size_t> BodyLength(const std::string& header) const;
+  absl::StatusOr<size_t> BodyLength(std::string_view header) const;
 
   std::string key_;
 };
--- a/src/protocol/http_reader.cpp
+++ b/src/protocol/http_reader.cpp
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "protocol/byte_queue.h"
 #include "protocol/text.h"
 
 namespace tamaracktrail {
@@ -43,7 +45,7 @@
 class HttpReader::Base {
  public:
   virtual ~Base() = default;
-  virtual absl::Status Feed(std::string* buf) = 0;
+  virtual absl::StatusOr<size_t> Parse(std::string_view bytes) = 0;
   virtual absl::Status FeedEnd() = 0;
   virtual void ExpectNoBody() = 0;
   virtual bool Done() const = 0;
@@ -76,26 +78,26 @@
     this->eager(false);
   }
 
-  absl::Status Feed(std::string* buf) override {
+  absl::StatusOr<size_t> Parse(std::string_view bytes) override {
     size_t consumed = 0;
-    while (consumed < buf->size() && !this->is_done()) {
+    while (consumed < bytes.size() && !this->is_done()) {
+      const std::string_view rest = bytes.substr(consumed);
+      const bool at_chunk_start = AtChunkStart();
       // The parser asserts that a last chunk which it has seen before has
       // kMinChunkBytes.
-      if (AtChunkStart() && buf->size() - consumed < kMinChunkBytes) {
+      if (at_chunk_start && rest.size() < kMinChunkBytes) {
         break;
       }
-      const bool at_chunk_start = AtChunkStart();
-      error_code ec;
-      const size_t n =
-          this->put(boost::asio::const_buffer(buf->data() + consumed,
-                                              buf->size() - consumed),
-                    ec);
+      error_code ec = http::error::need_more;
+      size_t n = 0;
+      if (!at_chunk_start || MayEndChunkStart(rest)) {
+        n = this->put(boost::asio::const_buffer(rest.data(), rest.size()), ec);
+      }
       consumed += n;
       // With need_more, bytes of the message have arrived even if none of them
       // was consumed.
       started = started || n > 0 || ec == http::error::need_more;
-      if (at_chunk_start &&
-          (n > 0 ? n : buf->size() - consumed) > max_header_bytes_) {
+      if (at_chunk_start && (n > 0 ? n : rest.size()) > max_header_bytes_) {
         return absl::ResourceExhaustedError("HTTP: chunk framing limit");
       }
       if (ec == http::error::need_more) {
@@ -108,8 +110,7 @@
         break;
       }
     }
-    buf->erase(0, consumed);
-    return absl::OkStatus();
+    return consumed;
   }
 
   absl::Status FeedEnd() override {
@@ -148,6 +149,23 @@
     return head_done && this->chunked() && chunk_bytes_left_ == 0;
   }
 
+  //! Whether the parser has to see `text`, which begins at the start of a chunk
+  //! and goes on where the text of the previous call ended. The parser reads
+  //! the line of a last chunk again in each call until the trailer is complete,
+  //! so it is not called for a part of the trailer.
+  bool MayEndChunkStart(std::string_view text) {
+    constexpr std::string_view kTrailerEnd = "\r\n\r\n";
+    const size_t seen = std::exchange(chunk_start_seen_, text.size());
+    if (!in_trailer_) {
+      // A line end at the beginning is that of the chunk before.
+      in_trailer_ = text.find("\r\n", std::max<size_t>(seen, 2) - 1) !=
+                    std::string_view::npos;
+      return true;
+    }
+    const size_t from = seen - std::min(seen, kTrailerEnd.size() - 1);
+    return text.find(kTrailerEnd, from) != std::string_view::npos;
+  }
+
   void on_request_impl(http::verb,
                        string_view method_text,
                        string_view target_text,
@@ -220,6 +238,8 @@
 
   void on_chunk_header_impl(uint64_t size, string_view, error_code&) override {
     chunk_bytes_left_ = size;
+    chunk_start_seen_ = 0;
+    in_trailer_ = false;
   }
 
   size_t on_chunk_body_impl(uint64_t, string_view text, error_code&) override {
@@ -233,6 +253,8 @@
   size_t max_header_bytes_;
   std::string detail_;             //!< Of an error, as a suffix of its message.
   uint64_t chunk_bytes_left_ = 0;  //!< Of the chunk that is being read.
+  size_t chunk_start_seen_ = 0;    //!< Bytes of the start of the next chunk.
+  bool in_trailer_ = false;        //!< The line of the last chunk is complete.
 };
 
 HttpReader::HttpReader(Kind kind,
@@ -247,8 +269,24 @@
 
 HttpReader::~HttpReader() = default;
 
+absl::StatusOr<size_t> HttpReader::Parse(std::string_view bytes) {
+  return parser_->Parse(bytes);
+}
+
+absl::Status HttpReader::Feed(ByteQueue* buf) {
+  const absl::StatusOr<size_t> n = Parse(buf->view());
+  if (n.ok()) {
+    buf->Consume(*n);
+  }
+  return n.status();
+}
+
 absl::Status HttpReader::Feed(std::string* buf) {
-  return parser_->Feed(buf);
+  const absl::StatusOr<size_t> n = Parse(*buf);
+  if (n.ok()) {
+    buf->erase(0, *n);
+  }
+  return n.status();
 }
 
 absl::Status HttpReader::FeedEnd() {
--- a/src/protocol/http_reader.h
+++ b/src/protocol/http_reader.h
@@ -1,18 +1,23 @@
 #ifndef PROTOCOL_HTTP_READER_H_
 #define PROTOCOL_HTTP_READER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "protocol/body_framing.h"
 #include "protocol/http_fields.h"
 
 namespace tamaracktrail {
 
+class ByteQueue;
+
 //! Incremental parser of one HTTP/1.1 message.
 //!
 //! Parses with Boost.Beast and also rejects framing that two parsers could
@@ -32,10 +37,16 @@
   HttpReader(Kind kind, uint32_t max_header_bytes, uint64_t max_body_bytes);
   ~HttpReader();
 
-  //! Parses the part of `buf` that belongs to this message and removes it from
-  //! `buf`; what it leaves there is less than `max_header_bytes` unless the
-  //! message is done. Errors: kResourceExhausted if `max_header_bytes` is
-  //! exceeded, kOutOfRange if `max_body_bytes` is, otherwise kInvalidArgument.
+  //! Parses the part of `bytes` that belongs to this message and returns its
+  //! size. The next call gets the rest, which is less than `max_header_bytes`
+  //! unless the message is done, with further bytes after it. Errors:
+  //! kResourceExhausted if `max_header_bytes` is exceeded, kOutOfRange if
+  //! `max_body_bytes` is, otherwise kInvalidArgument.
+  absl::StatusOr<size_t> Parse(std::string_view bytes);
+
+  //! Parses and removes the part of a buffer that belongs to this message.
+  //! Errors as for Parse, which leave the buffer as it is.
+  absl::Status Feed(ByteQueue* buf);
   absl::Status Feed(std::string* buf);
 
   //! To be called when the peer has closed its side. Errors: the message is
--- a/src/transport/internal/peer_connection.cpp
+++ b/src/transport/internal/peer_connection.cpp
@@ -79,7 +79,8 @@
           owner->Close(absl::UnavailableError(error));
           return;
         }
-        owner->received_.append((*shared)->buf.data(), static_cast<size_t>(n));
+        owner->received_.Append(
+            {(*shared)->buf.data(), static_cast<size_t>(n)});
         owner->DecodeFrames();
       },
       reference);
@@ -89,7 +90,7 @@
   const std::shared_ptr<SharedState> shared = shared_;
   while (true) {
     absl::StatusOr<std::optional<PeerMessage>> message =
-        codec_->TakeFrom(received_);
+        codec_->TakeFrom(&received_);
     if (!message.ok()) {
       Close(message.status());
       return;
--- a/src/transport/internal/peer_connection.h
+++ b/src/transport/internal/peer_connection.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "protocol/byte_queue.h"
 #include "protocol/peer_message.h"
 
 typedef struct _GSocketConnection GSocketConnection;
@@ -57,7 +58,7 @@
   OnMessage on_message_;
   OnClosed on_closed_;
   std::shared_ptr<SharedState> shared_;  //!< Kept alive by pending callbacks.
-  std::string received_;
+  ByteQueue received_;
   std::deque<std::string> write_queue_;
   bool closed_ = false;
 };
--- a/src/transport/relay/endpoint_call.cpp
+++ b/src/transport/relay/endpoint_call.cpp
@@ -49,14 +49,9 @@
   return Millis(static_cast<int64_t>(seconds * 1000 * kKeepAliveFraction));
 }
 
-//! Frees a large buffer that is empty: a call that waits for its caller to read
-//! would keep it for a long time.
-void FreeIfIdle(std::string* buf) {
-  constexpr size_t kMaxIdleBytes = 16 * 1024;
-  if (buf->empty() && buf->capacity() > kMaxIdleBytes) {
-    std::string().swap(*buf);
-  }
-}
+//! A large buffer is freed when it is empty: a call that waits for its caller
+//! to read would keep it for a long time.
+constexpr size_t kMaxIdleBytes = 16 * 1024;
 
 }  // namespace
 
@@ -148,7 +143,7 @@
 }
 
 bool EndpointCall::ReadOnce(bool* ended) {
-  switch (stream_->Read(&input_, kReadBytes)) {
+  switch (stream_->Read(input_.tail(), kReadBytes)) {
     case TcpStream::ReadResult::kEndOfStream:
       *ended = true;
       return true;
@@ -194,7 +189,9 @@
 
 bool EndpointCall::FeedReader(bool ended) {
   absl::Status fed = reader_->Feed(&input_);
-  FreeIfIdle(&input_);
+  if (input_.empty() && input_.capacity() > kMaxIdleBytes) {
+    input_.Free();
+  }
   if (fed.ok() && ended && !reader_->done()) {
     fed = EndsWithConnection() ? reader_->FeedEnd()
                                : absl::DataLossError("cut answer");
@@ -221,8 +218,9 @@
     reader_->body().clear();
   } else if (!reader_->body().empty()) {
     observer_->OnAnswerBody(&reader_->body());
-    if (*alive) {
-      FreeIfIdle(&reader_->body());
+    if (*alive && reader_->body().empty() &&
+        reader_->body().capacity() > kMaxIdleBytes) {
+      std::string().swap(reader_->body());
     }
   }
   return *alive;
--- a/src/transport/relay/endpoint_call.h
+++ b/src/transport/relay/endpoint_call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/status/status.h"
+#include "protocol/byte_queue.h"
 #include "protocol/http_reader.h"
 #include "state/millis.h"
 #include "transport/event_loop.h"
@@ -103,7 +104,7 @@
   std::unique_ptr<HttpReader> reader_;
   std::string head_;
   std::shared_ptr<const std::string> body_;
-  std::string input_;
+  ByteQueue input_;
   EventLoop::TimerId connect_timer_{};
   uint64_t bytes_sent_before_ = 0;  //!< Bytes of earlier requests.
   bool request_written_ = false;
--- a/tests/protocol/frame_codec_test.cpp
+++ b/tests/protocol/frame_codec_test.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include "protocol/byte_queue.h"
+
 namespace tamaracktrail {
 namespace {
 
@@ -65,12 +67,12 @@
 TEST(FrameCodecTest, AllFramesAreDecodedFromStreamInPiecesOfAnySize) {
   const std::string stream = Frame() + Frame() + Frame();
   for (size_t piece = 1; piece < stream.size(); piece += 7) {
-    std::string buf;
+    ByteQueue buf;
     int n = 0;
     for (size_t at = 0; at < stream.size(); at += piece) {
-      buf += stream.substr(at, piece);
+      buf.Append(std::string_view(stream).substr(at, piece));
       while (true) {
-        const auto message = kCodec.TakeFrom(buf);
+        const auto message = kCodec.TakeFrom(&buf);
         ASSERT_TRUE(message.ok());
         if (!message->has_value()) {
           break;
@@ -83,5 +85,21 @@
   }
 }
 
+// Guards against a buffer that is moved as a whole for each frame in it.
+TEST(FrameCodecTest, BufferIsNotMovedForEachFrame) {
+  ByteQueue buf;
+  size_t bytes = 0;
+  while (bytes < 64 * 1024) {
+    buf.Append(Frame());
+    bytes += Frame().size();
+  }
+  buf.Append(Frame().substr(0, 20));
+  for (auto message = kCodec.TakeFrom(&buf); message.ok() && *message;
+       message = kCodec.TakeFrom(&buf)) {
+  }
+  EXPECT_EQ(buf.size(), 20U);
+  EXPECT_LE(buf.moved_bytes(), bytes);
+}
+
 }  // namespace
 }  // namespace tamaracktrail
--- a/tests/protocol/http_reader_test.cpp
+++ b/tests/protocol/http_reader_test.cpp
@@ -149,6 +149,28 @@
   }
 }
 
+// Guards against a trailer whose end is not seen if it arrives byte by byte
+// behind a long line of the last chunk.
+TEST(HttpReaderTest, TrailerFedByteByByteEndsTheMessage) {
+  for (const char* trailer : {"", "X-T: 1\r\n", "X-T: 1\r\nX-U: 2\r\n"}) {
+    HttpReader reader(HttpReader::Kind::kResponse, kMaxHeaderBytes,
+                      kMaxBodyBytes);
+    const std::string text =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nx\r\n0;a=" +
+        std::string(100, 'b') + "\r\n" + trailer + "\r\n";
+    std::string buf;
+    for (size_t i = 0; i < text.size(); ++i) {
+      EXPECT_FALSE(reader.done()) << i;
+      buf += text[i];
+      ASSERT_TRUE(reader.Feed(&buf).ok()) << i;
+    }
+    EXPECT_TRUE(reader.done());
+    EXPECT_EQ(reader.body(), "x");
+    EXPECT_EQ(buf, "");
+  }
+}
+
 //! A response that is well-formed for about half of the seeds; of the others,
 //! one byte is replaced, inserted or removed.
 std::string RandomResponse(std::mt19937_64* random) {
