Serve other connections between pipelined requests, datagrams and zero timers

One read of a caller may hold thousands of pipelined requests, and all of them were served in one wake-up, since each deferred the next. The next one is now begun in the next wake-up. Timers that a timer sets without a delay wait for the next wake-up too, and datagrams of peers are read up to 64 KiB in one.

The log: while its reader was behind, each line cost a system call, and each block written moved the whole buffer. A write is tried again after 4 KiB more, or after 250 ms, also if no further line follows: before, a full buffer stayed full until a line came that still fitted.

OnePipelinedRequestIsServedInAWakeUp and TimerSetByATimerRunsInALaterWakeUp count wake-ups; on the untouched code the second fails and the first, whose watch is such a timer, does not come back (stopped after 60 s). GoesOnWhenItsReaderDoes fails there as well.

--- a/src/transport/event_log.cpp
+++ b/src/transport/event_log.cpp
@@ -28,7 +28,7 @@
 }  // namespace
 
 EventLog::EventLog(EventLoop* loop, int fd) : loop_(loop), fd_(fd) {
-  buf_.reserve(kFlushBytes);
+  buf_.tail()->reserve(kFlushBytes);
 }
 
 EventLog::~EventLog() {
@@ -38,37 +38,51 @@
 void EventLog::Write(const std::string& line) {
   if (buf_.size() + line.size() > kMaxBufferedBytes) {
     ++dropped_;
+    ScheduleFlush();
     return;
   }
-  buf_ += line;
-  buf_ += '\n';
-  if (buf_.size() >= kFlushBytes) {
+  buf_.Append(line);
+  buf_.Append("\n");
+  if (buf_.size() >= blocked_bytes_ + kFlushBytes) {
     Flush();
-  } else if (!flush_scheduled_) {
+  }
+  if (!buf_.empty()) {
+    ScheduleFlush();
+  }
+}
+
+void EventLog::ScheduleFlush() {
+  if (!flush_scheduled_) {
     flush_scheduled_ = true;
     loop_->After(kFlushDelay, [this] {
       flush_scheduled_ = false;
       Flush();
+      if (!buf_.empty()) {
+        ScheduleFlush();
+      }
     });
   }
 }
 
 void EventLog::Flush() {
   if (dropped_ > reported_dropped_ && buf_.size() < kMaxBufferedBytes) {
-    absl::StrAppend(
-        &buf_, "event=log_dropped lines=", dropped_ - reported_dropped_, "\n");
+    absl::StrAppend(buf_.tail(),
+                    "event=log_dropped lines=", dropped_ - reported_dropped_,
+                    "\n");
     reported_dropped_ = dropped_;
   }
+  blocked_bytes_ = 0;
   while (!buf_.empty()) {
-    const ssize_t n =
-        write(fd_, buf_.data(), std::min(buf_.size(), kWriteBytes));
+    const std::string_view block = buf_.view().substr(0, kWriteBytes);
+    const ssize_t n = write(fd_, block.data(), block.size());
     if (n < 0 && errno == EINTR) {
       continue;
     }
     if (n <= 0) {
+      blocked_bytes_ = buf_.size();
       return;
     }
-    buf_.erase(0, static_cast<size_t>(n));
+    buf_.Consume(static_cast<size_t>(n));
   }
 }
 
--- a/src/transport/event_log.h
+++ b/src/transport/event_log.h
@@ -1,9 +1,12 @@
 #ifndef TRANSPORT_EVENT_LOG_H_
 #define TRANSPORT_EVENT_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
+#include "protocol/byte_queue.h"
+
 namespace tamaracktrail {
 
 class EventLoop;
@@ -33,10 +36,13 @@
   uint64_t dropped() const { return dropped_; }
 
  private:
+  void ScheduleFlush();
+
   EventLoop* loop_;
   int fd_;
   bool flush_scheduled_ = false;
-  std::string buf_;
+  ByteQueue buf_;
+  size_t blocked_bytes_ = 0;  //!< Buffered bytes that a write failed for.
   uint64_t dropped_ = 0;
   uint64_t reported_dropped_ = 0;
 };
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -169,7 +169,11 @@
 }
 
 void EventLoop::RunTimers() {
-  while (!timers_.empty() && timers_.begin()->first.first <= now_.count()) {
+  // Timers that are set by these wait for the next wake-up, even without a
+  // delay, so that descriptors are served before them.
+  const uint64_t first_new = next_timer_;
+  while (!timers_.empty() && timers_.begin()->first.first <= now_.count() &&
+         timers_.begin()->first.second < first_new) {
     const Callback callback = std::move(timers_.begin()->second);
     timers_.erase(timers_.begin());
     RunTurn("timer", callback);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -46,7 +46,8 @@
   void UpdateWatch(int fd, uint32_t events);
   void Unwatch(int fd);
 
-  //! Calls `callback` once, after `delay`.
+  //! Calls `callback` once, after `delay`; in a later wake-up if it is set by a
+  //! timer or a deferred callback.
   TimerId After(Millis delay, Callback callback);
 
   //! Cancels a timer and resets the id; has no effect on a timer that has run.
--- a/src/transport/peer_gossip.cpp
+++ b/src/transport/peer_gossip.cpp
@@ -25,8 +25,10 @@
 //! 65,507 bytes. It has room for several hundred endpoints.
 constexpr size_t kMaxReportBytes = 60000;
 
-//! Reports received per wake-up; the rest wait for the next one.
+//! Reports received per wake-up, and bytes after which no other one is; the
+//! rest wait for the next wake-up.
 constexpr int kReportsPerWakeUp = 64;
+constexpr size_t kBytesPerWakeUp = 64 * 1024;
 
 using Datagram = std::variant<PeerGossip::Report, LendingMessage>;
 
@@ -87,11 +89,13 @@
 void PeerGossip::OnReady(uint32_t) {
   loop_->SetTurnOwner("datagram", {});
   std::array<char, 65536> buf;
-  for (int i = 0; i < kReportsPerWakeUp; ++i) {
+  size_t received = 0;
+  for (int i = 0; i < kReportsPerWakeUp && received < kBytesPerWakeUp; ++i) {
     const ssize_t n = recv(fd_, buf.data(), buf.size(), 0);
     if (n <= 0) {
       return;
     }
+    received += static_cast<size_t>(n);
     Datagram datagram;
     try {
       BoundedInputArchive archive({buf.data(), static_cast<size_t>(n)});
--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -68,6 +68,7 @@
 }
 
 CallerConnection::~CallerConnection() {
+  loop_->Cancel(&next_request_timer_);
   if (memory_ != nullptr) {
     memory_->Remove(memory_id_);
   }
@@ -83,7 +84,7 @@
   }
   loop_->SetTurnOwner("caller", peer_);
   const size_t before = input_.size();
-  const TcpStream::ReadResult result = stream_->Read(&input_, kReadBytes);
+  const TcpStream::ReadResult result = stream_->Read(input_.tail(), kReadBytes);
   if (result == TcpStream::ReadResult::kEndOfStream ||
       result == TcpStream::ReadResult::kFailed) {
     Close();
@@ -103,7 +104,7 @@
       UpdateHeld();
       break;
     case Phase::kLingering:
-      std::string().swap(input_);
+      input_.Free();
       break;
   }
 }
@@ -140,7 +141,7 @@
     return;
   }
   if (input_.empty() && input_.capacity() > kMaxIdleInputBytes) {
-    std::string().swap(input_);
+    input_.Free();
   }
   if (!ReserveRequest()) {
     RejectRequest(503, "Service Unavailable");
@@ -237,7 +238,7 @@
     head.fields.Add("Retry-After", kNoMemoryRetryAfter);
   }
   reader_.reset();
-  std::string().swap(input_);
+  input_.Free();
   body_bytes_ = 0;
   phase_ = Phase::kServing;
   server_->OnPhase(id_, ConnectionSlots::Phase::kServing);
@@ -322,19 +323,33 @@
   }
   phase_ = Phase::kReading;
   server_->OnPhase(id_, has_unsent_bytes() ? ConnectionSlots::Phase::kSending
+                        : !input_.empty()  ? ConnectionSlots::Phase::kReceiving
                                            : ConnectionSlots::Phase::kIdle);
   bytes_sent_ = stream_->bytes_sent();
   request_begun_ = false;
   waiting_since_ = loop_->Now();
   UpdateHeld();
   stream_->PauseReading(false);
-  ReadRequest();
+  ReadNextRequestLater();
+}
+
+void CallerConnection::ReadNextRequestLater() {
+  if (input_.empty()) {
+    return;
+  }
+  next_request_timer_ = loop_->After(Millis(0), [this] {
+    next_request_timer_ = {};
+    loop_->SetTurnOwner("caller", peer_);
+    if (phase_ == Phase::kReading && !closed_) {
+      ReadRequest();
+    }
+  });
 }
 
 void CallerConnection::StartLingering() {
   phase_ = Phase::kLingering;
   waiting_since_ = loop_->Now();
-  std::string().swap(input_);
+  input_.Free();
   UpdateHeld();
   stream_->PauseReading(false);
   server_->OnPhase(id_, ConnectionSlots::Phase::kSending);
@@ -398,7 +413,7 @@
     }
     // The caller must not take the part that it has read for all.
     stream_->SetResetOnClose(true);
-  } else if (stream_->has_unread_bytes()) {
+  } else if (!input_.empty() || stream_->has_unread_bytes()) {
     return ConnectionSlots::Phase::kReceiving;
   }
   Close();
--- a/src/transport/relay/caller_connection.h
+++ b/src/transport/relay/caller_connection.h
@@ -10,15 +10,16 @@
 #include "absl/status/status.h"
 #include "coordination/connection_slots.h"
 #include "protocol/body_framing.h"
+#include "protocol/byte_queue.h"
 #include "state/caller_limits.h"
 #include "state/millis.h"
+#include "transport/event_loop.h"
 #include "transport/relay/answer_head.h"
 #include "transport/tcp_stream.h"
 
 namespace tamaracktrail {
 
 class ConnectionMemory;
-class EventLoop;
 class HttpReader;
 class RequestTask;
 class RelayServer;
@@ -98,6 +99,9 @@
   void OnFailed(const absl::Status& status) override;
 
   void ReadRequest();
+  //! Reads a pipelined request in the next wake-up: other connections are
+  //! served before it, however many requests one read has.
+  void ReadNextRequestLater();
   //! Whether the instance can hold the request so far; refuses it otherwise.
   bool ReserveRequest();
   void RejectRequest(int status, const char* reason);
@@ -123,9 +127,10 @@
   std::unique_ptr<TcpStream> stream_;
   std::unique_ptr<HttpReader> reader_;
   std::unique_ptr<RequestTask> task_;
-  std::string input_;
+  ByteQueue input_;
   Phase phase_ = Phase::kReading;
   Millis waiting_since_;  //!< Start of the current timeout.
+  EventLoop::TimerId next_request_timer_{};
   bool request_begun_ = false;
   bool keep_alive_ = true;
   bool accepts_chunks_ = true;  //!< HTTP/1.0 does not know them.
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -5,7 +5,9 @@
 
 #include <fcntl.h>
 
+#include <algorithm>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <string>
 #include <utility>
@@ -18,6 +20,7 @@
 #include "support/loopback.h"
 #include "transport/event_log.h"
 #include "transport/event_loop.h"
+#include "transport/loop_turn.h"
 #include "transport/metrics.h"
 #include "transport/peer_exchange.h"
 #include "transport/peer_gossip.h"
@@ -47,6 +50,130 @@
   EXPECT_EQ(ran, (std::vector<int>{1, 2}));
 }
 
+// Guards against timers without a delay that keep descriptors from being
+// served.
+TEST(EventLoopTest, TimerSetByATimerRunsInALaterWakeUp) {
+  EventLoop loop;
+  const auto [fd, address] = ListenOnFreePort();
+  int timers = 0;
+  Metrics metrics;
+  RelayServer server(
+      &loop, fd, 16,
+      [&](CallerConnection* connection, const CallerRequest&) {
+        return std::make_unique<FixedAnswerTask>(connection, 200, "");
+      },
+      &metrics);
+  Caller caller(&loop, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::function<void()> next = [&] {
+    ++timers;
+    if (caller.finished() || timers == 1000000) {
+      loop.Quit();
+    } else {
+      loop.After(Millis(0), next);
+    }
+  };
+  next();
+  loop.Run();
+  EXPECT_EQ(caller.status(), 200);
+}
+
+TEST(EventLoopTest, LongWakeUpIsReportedWithItsLongestTurn) {
+  EventLoop loop;
+  std::vector<LoopTurn> reported;
+  loop.ReportSlowWakeUps(Millis(30),
+                         [&](Millis duration, const LoopTurn& longest) {
+                           EXPECT_GE(duration, longest.duration);
+                           reported.push_back(longest);
+                           loop.Quit();
+                         });
+  loop.After(Millis(0), [&] {
+    loop.SetTurnOwner("answer", "127.0.0.1:1", "id-1");
+    usleep(40000);
+  });
+  loop.After(Millis(0), [&] {
+    loop.SetTurnOwner("caller", "127.0.0.1:2", "id-2");
+    usleep(1000);
+  });
+  loop.Run();
+  ASSERT_EQ(reported.size(), 1U);
+  EXPECT_EQ(reported[0].source, "answer");
+  EXPECT_EQ(reported[0].peer, "127.0.0.1:1");
+  EXPECT_EQ(reported[0].request, "id-1");
+  EXPECT_GE(reported[0].duration, Millis(39));
+  EXPECT_GE(loop.longest_wake_up(), reported[0].duration);
+}
+
+// Guards against one caller whose pipelined requests are all served before any
+// other connection is.
+TEST(RelayServerTest, OnePipelinedRequestIsServedInAWakeUp) {
+  constexpr int kRequests = 500;
+  EventLoop loop;
+  Metrics metrics;
+  const auto [fd, address] = ListenOnFreePort();
+  int served = 0;
+  RelayServer server(
+      &loop, fd, 16,
+      [&](CallerConnection* connection, const CallerRequest&) {
+        ++served;
+        return std::make_unique<FixedAnswerTask>(connection, 200, "");
+      },
+      &metrics);
+  std::string requests;
+  for (int i = 0; i < kRequests; ++i) {
+    requests += "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  Caller caller(&loop, address, requests);
+  int most = 0;
+  int before = 0;
+  const std::function<void()> watch = [&] {
+    most = std::max(most, served - before);
+    before = served;
+    if (served == kRequests) {
+      loop.Quit();
+    } else {
+      loop.After(Millis(0), watch);
+    }
+  };
+  watch();
+  loop.After(Millis(5000), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(served, kRequests);
+  EXPECT_LE(most, 2);
+}
+
+// Guards against a log that stays silent after its buffer was full, and against
+// a system call for each line while its reader is behind.
+TEST(EventLogTest, GoesOnWhenItsReaderDoes) {
+  EventLoop loop;
+  int fds[2];
+  ASSERT_EQ(pipe2(fds, O_NONBLOCK | O_CLOEXEC), 0);
+  EventLog log(&loop, fds[1]);
+  const std::string line(1000, 'x');
+  while (log.dropped() == 0) {
+    log.Write(line);
+  }
+  // No further line follows that could be written.
+  std::string text;
+  std::vector<char> buf(64 * 1024);
+  const std::function<void()> read_all = [&] {
+    ssize_t n = 0;
+    while ((n = read(fds[0], buf.data(), buf.size())) > 0) {
+      text.append(buf.data(), static_cast<size_t>(n));
+    }
+    if (text.find("event=log_dropped lines=1") != std::string::npos) {
+      loop.Quit();
+    } else {
+      loop.After(Millis(5), read_all);
+    }
+  };
+  read_all();
+  loop.After(Millis(5000), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_NE(text.find("event=log_dropped lines=1"), std::string::npos);
+  close(fds[0]);
+  close(fds[1]);
+}
+
 // Guards against a signal during the exit of the process changing its result.
 TEST(SignalPipeTest, SignalsAfterItsEndDoNotEndTheProcess) {
   EventLoop loop;
