--- a/tests/platform/topic_reader_test.cpp
+++ b/tests/platform/topic_reader_test.cpp
@@ -5,11 +5,16 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "absl/strings/str_cat.h"
 #include "platform/store_client.h"
 #include "platform/store_record.h"
 #include "platform/wire_names.h"
@@ -85,6 +90,63 @@
   EXPECT_LT(read_at_ - back_at, Millis(2000));
 }
 
+// Guards against an event loop that stands still while one answer's records are
+// passed on.
+TEST_F(TopicReaderTest, RecordsOfOneAnswerArePassedOnInSeveralWakeUps) {
+  constexpr size_t kRecords = 5000;
+  constexpr size_t kMostInAWakeUp = 256;
+  store_.Put(kOperatorTopic, kConfigKey, "listed");
+  size_t most = 0;
+  size_t before = 0;
+  const std::function<void()> watch = [&] {
+    most = std::max(most, values_.size() - before);
+    before = values_.size();
+    if (values_.size() == kRecords + 1) {
+      loop_.Quit();
+    } else {
+      loop_.After(Millis(0), watch);
+    }
+  };
+  reader_.Start();
+  loop_.After(Millis(100), [&] {
+    for (size_t i = 0; i < kRecords; ++i) {
+      store_.Put(kOperatorTopic, kConfigKey, absl::StrCat(i));
+    }
+    watch();
+  });
+  loop_.After(Millis(8000), [&] { loop_.Quit(); });
+  loop_.Run();
+  ASSERT_EQ(values_.size(), kRecords + 1);
+  EXPECT_EQ(values_.back(), absl::StrCat(kRecords - 1));
+  EXPECT_EQ(reader_.next_offset(), static_cast<int64_t>(kRecords + 1));
+  EXPECT_LE(most, kMostInAWakeUp);
+}
+
+// Guards against records of before a restore that count after it.
+TEST_F(TopicReaderTest, RestoreWhileRecordsArePassedOnListsAgain) {
+  const auto copy = store_.MakeCopy();
+  const std::function<void()> restore = [&] {
+    if (values_.empty()) {
+      loop_.After(Millis(0), restore);
+      return;
+    }
+    store_.Restore(*copy, false);
+    reader_.OnStoreRestored();
+    values_.clear();
+    store_.Put(kOperatorTopic, kConfigKey, "kept");
+    RunUntilRead("kept", Millis(3000));
+  };
+  reader_.Start();
+  loop_.After(Millis(100), [&] {
+    for (int i = 0; i < 5000; ++i) {
+      store_.Put(kOperatorTopic, kConfigKey, "lost");
+    }
+    restore();
+  });
+  loop_.Run();
+  EXPECT_EQ(values_, std::vector<std::string>{"kept"});
+}
+
 TEST_F(TopicReaderTest, AnswersLaterThanTheTimeoutAreUsed) {
   store_.Put(kOperatorTopic, kConfigKey, "first");
   store_.faults().delay = Millis(1700);
