Read the Connection field of a request once, as a list of names

A field is now left out only if the list has its whole name; a part of a longer name was enough before.

--- a/src/protocol/http_fields.cpp
+++ b/src/protocol/http_fields.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_split.h"
 #include "protocol/text.h"
 
 namespace tamaracktrail {
@@ -26,6 +28,14 @@
       [&](const HttpField& it) { return EqualsIgnoringCase(it.name, name); }));
 }
 
+std::set<std::string> ListMembers(std::string_view value) {
+  std::set<std::string> members;
+  for (const absl::string_view it : absl::StrSplit(AsAbsl(value), ',')) {
+    members.insert(absl::AsciiStrToLower(absl::StripAsciiWhitespace(it)));
+  }
+  return members;
+}
+
 bool IsHopByHopField(std::string_view name) {
   static constexpr std::array<std::string_view, 9> kNames = {
       "Connection", "Keep-Alive",          "Proxy-Connection",
--- a/src/protocol/http_fields.h
+++ b/src/protocol/http_fields.h
@@ -2,6 +2,7 @@
 #define PROTOCOL_HTTP_FIELDS_H_
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,6 +37,9 @@
   std::vector<HttpField> fields_;
 };
 
+//! Returns the members of a comma-separated list, in lower case. Thread-safe.
+std::set<std::string> ListMembers(std::string_view value);
+
 //! Whether a field is hop-by-hop, so that an intermediary does not forward it
 //! (RFC 9110, 7.6.1). Thread-safe.
 bool IsHopByHopField(std::string_view name);
--- a/src/transport/relay/relay_task.cpp
+++ b/src/transport/relay/relay_task.cpp
@@ -1,6 +1,8 @@
 #include "transport/relay/relay_task.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 
 #include <glog/logging.h>
 
@@ -342,7 +344,8 @@
   const CallDialect& dialect = context_->dialect;
   std::string head =
       absl::StrCat(request_.method, " ", request_.target, " HTTP/1.1\r\n");
-  const auto connection_names = request_.fields.Find("Connection");
+  const std::set<std::string> connection_names =
+      ListMembers(request_.fields.Find("Connection").value_or(""));
   for (const HttpField& it : request_.fields.all()) {
     const bool not_forwarded =
         std::any_of(dialect.not_forwarded.begin(), dialect.not_forwarded.end(),
@@ -352,9 +355,7 @@
     const bool replaced_event_id =
         head_sent_ && EqualsIgnoringCase(it.name, dialect.last_event_id);
     const bool in_connection_field =
-        connection_names &&
-        absl::StrContains(absl::AsciiStrToLower(AsAbsl(*connection_names)),
-                          absl::AsciiStrToLower(it.name));
+        connection_names.contains(absl::AsciiStrToLower(it.name));
     if (!not_forwarded && !replaced_event_id && !in_connection_field &&
         !IsHopByHopField(it.name) &&
         !EqualsIgnoringCase(it.name, "Content-Length")) {
