--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -117,6 +117,7 @@
 
 void EventLoop::Dispatch() {
   now_ = MonotonicNow();
+  turn_ended_at_ = now_;
   std::array<epoll_event, kEventsPerWakeUp> events;
   const int n = epoll_wait(epoll_fd_, events.data(), kEventsPerWakeUp, 0);
   for (int i = 0; i < n; ++i) {
@@ -138,16 +139,17 @@
 template <class Function>
 void EventLoop::RunTurn(std::string_view source, const Function& run) {
   SetTurnOwner(source, {});
-  const Millis began_at = MonotonicNow();
   run();
-  turn_.duration = MonotonicNow() - began_at;
+  const Millis ended_at = MonotonicNow();
+  turn_.duration = ended_at - turn_ended_at_;
+  turn_ended_at_ = ended_at;
   if (turn_.duration > longest_turn_.duration) {
     std::swap(turn_, longest_turn_);
   }
 }
 
 void EventLoop::EndWakeUp() {
-  const Millis duration = MonotonicNow() - now_;
+  const Millis duration = turn_ended_at_ - now_;
   longest_wake_up_ = std::max(longest_wake_up_, duration);
   if (on_slow_wake_up_ != nullptr && duration >= slow_limit_) {
     on_slow_wake_up_(duration, longest_turn_);
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -110,6 +110,7 @@
   Traffic traffic_;
   LoopTurn turn_;          //!< The running one.
   LoopTurn longest_turn_;  //!< Of this wake-up.
+  Millis turn_ended_at_;   //!< The last one, or the beginning of the wake-up.
   Millis longest_wake_up_;
   Millis slow_limit_;
   OnSlowWakeUp on_slow_wake_up_;
