--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -154,7 +154,9 @@
   if (on_slow_wake_up_ != nullptr && duration >= slow_limit_) {
     on_slow_wake_up_(duration, longest_turn_);
   }
-  longest_turn_.duration = {};
+  if (longest_turn_.duration > Millis(0)) {
+    longest_turn_ = {};
+  }
 }
 
 void EventLoop::SetTurnOwner(std::string_view source,
