Cut frames and pipelined requests anywhere in tests

FramesDoNotDependOnCuts (2,000 random streams) and PipelinedRequestsDoNotDependOnCuts (40 over real connections, with lengths and chunks of one byte) compare what is received with what was sent.

--- a/tests/protocol/frame_codec_test.cpp
+++ b/tests/protocol/frame_codec_test.cpp
@@ -3,6 +3,14 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <cstddef>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
 #include "protocol/byte_queue.h"
 
 namespace tamaracktrail {
@@ -85,6 +93,34 @@
   }
 }
 
+// Guards against results that depend on where a stream is cut.
+TEST(FrameCodecTest, FramesDoNotDependOnCuts) {
+  for (uint64_t seed = 1; seed <= 2000; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937_64 random(seed);
+    std::string stream;
+    std::vector<ReserveRequest> sent;
+    for (uint64_t i = 0, n = random() % 5; i < n; ++i) {
+      sent.push_back({std::string(random() % 30, 'o'), "key", "s", i, 2,
+                      static_cast<int64_t>(random() % 1000), true});
+      stream += kCodec.Encode(sent.back());
+    }
+    stream += Frame().substr(0, random() % Frame().size());
+    ByteQueue buf;
+    std::vector<ReserveRequest> received;
+    for (size_t at = 0; at < stream.size();) {
+      const size_t n = random() % 90;
+      buf.Append(std::string_view(stream).substr(at, n));
+      at += n;
+      for (auto message = kCodec.TakeFrom(&buf); message.ok() && *message;
+           message = kCodec.TakeFrom(&buf)) {
+        received.push_back(std::get<ReserveRequest>(**message));
+      }
+    }
+    ASSERT_EQ(received, sent);
+  }
+}
+
 // Guards against a buffer that is moved as a whole for each frame in it.
 TEST(FrameCodecTest, BufferIsNotMovedForEachFrame) {
   ByteQueue buf;
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -33,6 +34,7 @@
 #include "transport/relay/relay_server.h"
 #include "transport/signal_pipe.h"
 #include "transport/socket_address.h"
+#include "transport/tcp_stream.h"
 
 namespace tamaracktrail {
 namespace {
@@ -141,6 +143,95 @@
   EXPECT_LE(most, 2);
 }
 
+//! Sends the pieces one after the other, each in a wake-up of its own.
+class PieceSender : private TcpStream::Observer {
+ public:
+  PieceSender(EventLoop* loop,
+              const std::string& address,
+              std::vector<std::string> pieces)
+      : loop_(loop),
+        pieces_(std::move(pieces)),
+        stream_(*TcpStream::Connect(loop, address, Millis(5000), this)) {}
+
+  const std::string& answers() const { return answers_; }
+
+ private:
+  void OnConnected() override { SendNext(); }
+  void OnReadable() override {
+    if (stream_->Read(&answers_, 65536) == TcpStream::ReadResult::kFailed) {
+      loop_->Quit();
+    }
+  }
+  void OnFailed(const absl::Status&) override { loop_->Quit(); }
+
+  void SendNext() {
+    if (next_ < pieces_.size()) {
+      stream_->Write(pieces_[next_++]);
+      stream_->Flush();
+      loop_->After(Millis(0), [this] { SendNext(); });
+    }
+  }
+
+  EventLoop* loop_;
+  std::vector<std::string> pieces_;
+  size_t next_ = 0;
+  std::string answers_;
+  std::unique_ptr<TcpStream> stream_;
+};
+
+// Guards against requests that are lost or mixed up where a read ends inside of
+// one, or holds several.
+TEST(RelayServerTest, PipelinedRequestsDoNotDependOnCuts) {
+  for (uint64_t seed = 1; seed <= 40; ++seed) {
+    SCOPED_TRACE(seed);
+    std::mt19937_64 random(seed);
+    EventLoop loop;
+    Metrics metrics;
+    const auto [fd, address] = ListenOnFreePort();
+    std::string received;
+    RelayServer server(
+        &loop, fd, 16,
+        [&](CallerConnection* connection, const CallerRequest& request) {
+          absl::StrAppend(&received, request.target, *request.body, " ");
+          return std::make_unique<FixedAnswerTask>(connection, 200, "");
+        },
+        &metrics);
+    std::string sent;
+    std::string requests;
+    for (int i = 0; i < 30; ++i) {
+      const std::string body(random() % 20, 'b');
+      absl::StrAppend(&sent, "/", i, body, " ");
+      absl::StrAppend(&requests, "POST /", i, " HTTP/1.1\r\nHost: h\r\n");
+      if (random() % 2 == 0) {
+        absl::StrAppend(&requests, "Content-Length: ", body.size(), "\r\n\r\n",
+                        body);
+      } else {
+        absl::StrAppend(&requests, "Transfer-Encoding: chunked\r\n\r\n");
+        for (const char it : body) {
+          absl::StrAppend(&requests, "1\r\n", std::string(1, it), "\r\n");
+        }
+        absl::StrAppend(&requests, "0\r\n\r\n");
+      }
+    }
+    std::vector<std::string> pieces;
+    for (size_t at = 0; at < requests.size(); at += pieces.back().size()) {
+      pieces.push_back(requests.substr(at, 1 + random() % 200));
+    }
+    PieceSender sender(&loop, address, pieces);
+    loop.After(Millis(3000), [&] { loop.Quit(); });
+    const std::function<void()> watch = [&] {
+      if (received.size() >= sent.size()) {
+        loop.Quit();
+      } else {
+        loop.After(Millis(1), watch);
+      }
+    };
+    watch();
+    loop.Run();
+    ASSERT_EQ(received, sent);
+  }
+}
+
 // Guards against a log that stays silent after its buffer was full, and against
 // a system call for each line while its reader is behind.
 TEST(EventLogTest, GoesOnWhenItsReaderDoes) {
