Let a stalled request whose part is buffered give way again

A part of a head stays in the connection's buffer, and since pipelined requests wait there for the next wake-up, any byte in it kept a stalled connection from giving way to a new one. Only a request that is about to be begun does now.

--- a/src/transport/relay/caller_connection.cpp
+++ b/src/transport/relay/caller_connection.cpp
@@ -413,7 +413,8 @@
     }
     // The caller must not take the part that it has read for all.
     stream_->SetResetOnClose(true);
-  } else if (!input_.empty() || stream_->has_unread_bytes()) {
+  } else if (next_request_timer_ != EventLoop::TimerId{} ||
+             stream_->has_unread_bytes()) {
     return ConnectionSlots::Phase::kReceiving;
   }
   Close();
--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -232,6 +232,34 @@
   }
 }
 
+// Guards against stalled requests, of which a part is buffered, that keep their
+// slots for good.
+TEST(RelayServerTest, StalledRequestGivesWayToANewConnection) {
+  constexpr int kSlots = 16;
+  EventLoop loop;
+  Metrics metrics;
+  const auto [fd, address] = ListenOnFreePort();
+  RelayServer server(
+      &loop, fd, kSlots,
+      [&](CallerConnection* connection, const CallerRequest&) {
+        return std::make_unique<FixedAnswerTask>(connection, 200, "");
+      },
+      &metrics);
+  std::vector<std::unique_ptr<Caller>> stalled;
+  for (int i = 0; i < kSlots; ++i) {
+    stalled.push_back(std::make_unique<Caller>(&loop, address, "GET / HTTP"));
+  }
+  std::unique_ptr<Caller> caller;
+  // Requests without a byte for a second give way.
+  loop.After(Millis(1500), [&] {
+    caller = std::make_unique<Caller>(&loop, address,
+                                      "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  });
+  loop.After(Millis(2000), [&] { loop.Quit(); });
+  loop.Run();
+  EXPECT_EQ(caller->status(), 200);
+}
+
 // Guards against a log that stays silent after its buffer was full, and against
 // a system call for each line while its reader is behind.
 TEST(EventLogTest, GoesOnWhenItsReaderDoes) {
