--- a/tests/transport/relay_units_test.cpp
+++ b/tests/transport/relay_units_test.cpp
@@ -238,21 +238,22 @@
   constexpr int kSlots = 16;
   EventLoop loop;
   Metrics metrics;
-  const auto [fd, address] = ListenOnFreePort();
+  const auto listener = ListenOnFreePort();
   RelayServer server(
-      &loop, fd, kSlots,
+      &loop, listener.first, kSlots,
       [&](CallerConnection* connection, const CallerRequest&) {
         return std::make_unique<FixedAnswerTask>(connection, 200, "");
       },
       &metrics);
   std::vector<std::unique_ptr<Caller>> stalled;
   for (int i = 0; i < kSlots; ++i) {
-    stalled.push_back(std::make_unique<Caller>(&loop, address, "GET / HTTP"));
+    stalled.push_back(
+        std::make_unique<Caller>(&loop, listener.second, "GET / HTTP"));
   }
   std::unique_ptr<Caller> caller;
   // Requests without a byte for a second give way.
   loop.After(Millis(1500), [&] {
-    caller = std::make_unique<Caller>(&loop, address,
+    caller = std::make_unique<Caller>(&loop, listener.second,
                                       "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
   });
   loop.After(Millis(2000), [&] { loop.Quit(); });
